--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := kernel policies node operator standins
+
+.PHONY: setup test demo bench bench-hop bench-control lint format
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(PACKAGES:%=-e packages/%)
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+demo: $(STAMP)
+	$(BIN)/python -m cassiahatch_standins.demo
+
+bench: $(STAMP)
+	$(BIN)/python -m cassiahatch_standins.bench
+
+bench-hop: $(STAMP)
+	$(BIN)/python -m cassiahatch_standins.bench_hop
+
+bench-control: $(STAMP)
+	$(BIN)/python -m cassiahatch_standins.bench_control
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check packages tests
+	$(BIN)/ruff check packages tests
+
+format: $(STAMP)
+	$(BIN)/ruff format packages tests
+	$(BIN)/ruff check --fix packages tests
--- /dev/null
+++ b/packages/kernel/src/cassiahatch_kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Types, registry, ports and errors shared by every cassiahatch package."""
--- /dev/null
+++ b/packages/kernel/src/cassiahatch_kernel/clock.py
@@ -0,0 +1,30 @@
+"""The clock that decisions are given."""
+
+from __future__ import annotations
+
+import time
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """A source of time."""
+
+    def monotonic(self) -> float:
+        """Return seconds that never go back, from an arbitrary origin."""
+
+    def wall(self) -> float:
+        """Return seconds since the Unix epoch."""
+
+
+class SystemClock:
+    """The clock of the operating system."""
+
+    __slots__ = ()
+
+    def monotonic(self) -> float:
+        """Return seconds that never go back, from an arbitrary origin."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """Return seconds since the Unix epoch."""
+        return time.time()
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/__init__.py
@@ -0,0 +1,1 @@
+"""The node that runs beside each backend server."""
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services."""
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/backend/__init__.py
@@ -0,0 +1,1 @@
+"""The backend server beside the node."""
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/control/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that keep what nodes agree on."""
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/control/client.py
@@ -0,0 +1,105 @@
+"""Control exchanges: JSON over HTTP to the peer port of another node."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+import msgspec
+from tornado.curl_httpclient import CurlError
+from tornado.httpclient import HTTPRequest
+
+from cassiahatch_kernel.errors import CodedError
+from cassiahatch_node.http_client import fetch_response, make_client
+from cassiahatch_node.observability.metrics import Metrics
+from cassiahatch_node.peers.link import PEER_KEY_HEADER
+
+CONTROL_TIMEOUT_S = 1.0
+MAX_CONTROL_CALLS = 64
+
+Reply = TypeVar("Reply")
+
+
+class ControlError(CodedError):
+    """A peer did not answer a control exchange, or refused it."""
+
+    code = "control_failed"
+    status = 502
+
+
+class ControlClient:
+    """Sends control requests to peers.
+
+    Parameters
+    ----------
+    key : str
+        The fleet's key.
+    metrics : Metrics
+        Counts messages and bytes.
+    """
+
+    __slots__ = ("_client", "_key", "_metrics")
+
+    def __init__(self, key: str, metrics: Metrics) -> None:
+        self._client = make_client(MAX_CONTROL_CALLS)
+        self._key = key
+        self._metrics = metrics
+
+    def close(self) -> None:
+        """Close the client."""
+        self._client.close()
+
+    async def post(
+        self,
+        address: str,
+        path: str,
+        message: Any,
+        reply_type: type[Reply],
+        timeout_s: float = CONTROL_TIMEOUT_S,
+    ) -> Reply:
+        """Send a message to the peer at ``address`` and return its reply.
+
+        Raises
+        ------
+        ControlError
+            If there was no reply that could be read.
+        """
+        body = msgspec.json.encode(message)
+        return await self._exchange(address, path, "POST", body, reply_type, timeout_s)
+
+    async def get(self, address: str, path: str, reply_type: type[Reply]) -> Reply:
+        """Ask the peer at ``address`` and return its reply."""
+        return await self._exchange(
+            address, path, "GET", None, reply_type, CONTROL_TIMEOUT_S
+        )
+
+    async def _exchange(
+        self,
+        address: str,
+        path: str,
+        method: str,
+        body: bytes | None,
+        reply_type: type[Reply],
+        timeout_s: float,
+    ) -> Reply:
+        response = await fetch_response(
+            self._client,
+            HTTPRequest(
+                f"http://{address}{path}",
+                method=method,
+                headers={PEER_KEY_HEADER: self._key},
+                body=body,
+                connect_timeout=timeout_s,
+                request_timeout=timeout_s,
+            ),
+        )
+        self._metrics.count("control_requests")
+        self._metrics.count("control_bytes_sent", len(body or b""))
+        if isinstance(response, CurlError):
+            raise ControlError(f"{address}{path}: {response.message}")
+        if response.code != 200:
+            raise ControlError(f"{address}{path}: {response.code} {response.reason}")
+        self._metrics.count("control_bytes_received", len(response.body))
+        try:
+            return msgspec.json.decode(response.body, type=reply_type)
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            raise ControlError(f"{address}{path}: {error}") from None
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/control/gossip.py
@@ -0,0 +1,204 @@
+"""The exchange by which nodes learn of members, lists and crashes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+from cassiahatch_kernel.clock import Clock
+from cassiahatch_kernel.plan_changes import ListChange
+from cassiahatch_kernel.plans import AcceptedLists, PlanListError, check_lists
+from cassiahatch_node.control.client import ControlClient, ControlError
+from cassiahatch_node.control.messages import FleetState, GossipReply, GossipRequest
+from cassiahatch_node.fleet import Fleet
+from cassiahatch_node.observability.events import log_event, log_warning
+from cassiahatch_node.settings import PeerSettings
+from cassiahatch_policies.quarantine import Crash
+
+GOSSIP_PATH = "/control/gossip"
+STATE_PATH = "/control/state"
+CRASH_NEWS_S = 10.0
+NEWS_FANOUT = 3
+"""Peers that are told at once when there is news."""
+
+
+class Gossip:
+    """Exchanges digests and news with a random peer at every interval.
+
+    Parameters
+    ----------
+    settings : PeerSettings
+        Seeds and interval.
+    fleet : Fleet
+        What this node knows.
+    quarantine : object
+        The quarantine plug-in, which is told of crashes.
+    client : ControlClient
+        Reaches peers.
+    clock : Clock
+        Source of time.
+    source : random.Random
+        Chooses peers.
+    """
+
+    __slots__ = (
+        "_client",
+        "_clock",
+        "_crashes",
+        "_fleet",
+        "_quarantine",
+        "_settings",
+        "_source",
+        "_wake",
+    )
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        fleet: Fleet,
+        quarantine: Any,
+        client: ControlClient,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._fleet = fleet
+        self._quarantine = quarantine
+        self._client = client
+        self._clock = clock
+        self._source = source
+        self._crashes: list[tuple[Crash, float]] = []
+        self._wake = asyncio.Event()
+
+    async def run(self) -> None:
+        """Exchange with peers for as long as the node lives."""
+        await self._fetch_state()
+        while True:
+            is_news = await self._pause()
+            peers = self._choose_peers(NEWS_FANOUT if is_news else 1)
+            await asyncio.gather(*(self._exchange(address) for address in peers))
+
+    def spread(self) -> None:
+        """Exchange soon, because there is news."""
+        self._wake.set()
+
+    def report_crash(self, crash: Crash) -> None:
+        """Take in a crash and pass it on."""
+        if self._quarantine.report(crash, self._clock.monotonic()):
+            self._crashes.append((crash, self._clock.monotonic()))
+            self.spread()
+
+    def reply(self, request: GossipRequest) -> GossipReply:
+        """Take in a peer's news and return what it lacks."""
+        self._take(request.news, request.crashes)
+        fleet = self._fleet
+        differs = request.members_hash != fleet.roster.compute_hash()
+        news = list(fleet.roster.list_news(self._clock.monotonic()))
+        if request.bucket_hashes:
+            news = fleet.roster.list_differing(list(request.bucket_hashes))
+        changes: tuple[ListChange, ...] = ()
+        lists = None
+        if request.lists_version < fleet.plans.version:
+            changes = fleet.list_changes(request.lists_version, request.lists_change_id)
+            lists = None if changes else fleet.plans.accepted
+        return GossipReply(
+            lists_version=fleet.plans.version,
+            members_hash=fleet.roster.compute_hash(),
+            news=tuple(news) if differs else (),
+            crashes=self._list_crashes(),
+            bucket_hashes=tuple(fleet.roster.list_bucket_hashes()) if differs else (),
+            changes=changes,
+            lists=lists,
+        )
+
+    def list_state(self) -> FleetState:
+        """Return all that a starting node needs."""
+        members = tuple(self._fleet.roster.list_members())
+        return FleetState(members, self._fleet.plans.accepted)
+
+    async def _pause(self) -> bool:
+        try:
+            async with asyncio.timeout(self._settings.gossip_interval_s):
+                await self._wake.wait()
+        except TimeoutError:
+            return False
+        self._wake.clear()
+        return True
+
+    def _choose_peers(self, count: int) -> list[str]:
+        own = self._fleet.own.address
+        known = {m.address for m in self._fleet.roster.list_members()}
+        known.update(self._settings.seeds)
+        known.discard(own)
+        return self._source.sample(sorted(known), min(count, len(known)))
+
+    async def _fetch_state(self) -> None:
+        for seed in self._settings.seeds:
+            try:
+                state = await self._client.get(seed, STATE_PATH, FleetState)
+            except ControlError as error:
+                log_event("seed_unreachable", seed=seed, error=error.detail)
+                continue
+            self._fleet.learn(list(state.members))
+            self._fleet.adopt_lists(state.lists)
+
+    async def _exchange(self, address: str) -> None:
+        request = self._make_request(())
+        try:
+            reply = await self._ask(address, request)
+            if reply.members_hash != self._fleet.roster.compute_hash():
+                await self._ask(address, self._make_repair(reply))
+        except ControlError as error:
+            log_event("gossip_failed", peer=address, error=error.detail)
+
+    async def _ask(self, address: str, request: GossipRequest) -> GossipReply:
+        reply = await self._client.post(address, GOSSIP_PATH, request, GossipReply)
+        self._take(reply.news, reply.crashes)
+        if self._fleet.adopt_changes(reply.changes):
+            self.spread()
+        if reply.lists is not None:
+            self._adopt_lists(reply.lists, address)
+        return reply
+
+    def _adopt_lists(self, accepted: AcceptedLists, address: str) -> None:
+        try:
+            check_lists(accepted.lists)
+        except PlanListError as error:
+            log_warning("bad_lists_from_peer", peer=address, error=error.detail)
+            return
+        if self._fleet.adopt_lists(accepted):
+            self.spread()
+
+    def _make_request(self, bucket_hashes: tuple[str, ...]) -> GossipRequest:
+        fleet = self._fleet
+        return GossipRequest(
+            lists_version=fleet.plans.version,
+            lists_change_id=fleet.plans.accepted.change_id,
+            members_hash=fleet.roster.compute_hash(),
+            news=tuple(fleet.roster.list_news(self._clock.monotonic())),
+            crashes=self._list_crashes(),
+            bucket_hashes=bucket_hashes,
+        )
+
+    def _make_repair(self, reply: GossipReply) -> GossipRequest:
+        fleet = self._fleet
+        lacking = fleet.roster.list_differing(list(reply.bucket_hashes))
+        return GossipRequest(
+            lists_version=fleet.plans.version,
+            lists_change_id=fleet.plans.accepted.change_id,
+            members_hash=fleet.roster.compute_hash(),
+            news=tuple(lacking),
+            bucket_hashes=tuple(fleet.roster.list_bucket_hashes()),
+        )
+
+    def _take(self, news: tuple[Any, ...], crashes: tuple[Crash, ...]) -> None:
+        if self._fleet.learn(list(news)):
+            self._fleet.roster.forget_left(self._clock.monotonic())
+        for crash in crashes:
+            self.report_crash(crash)
+
+    def _list_crashes(self) -> tuple[Crash, ...]:
+        oldest = self._clock.monotonic() - CRASH_NEWS_S
+        self._crashes = [(c, at) for c, at in self._crashes if at >= oldest]
+        return tuple(crash for crash, _at in self._crashes)
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/control/quota.py
@@ -0,0 +1,277 @@
+"""Keeping plan limits: granting units as a keeper, and fetching them as a node."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from cassiahatch_kernel.clock import Clock
+from cassiahatch_kernel.errors import CodedError
+from cassiahatch_kernel.hashing import hash_text
+from cassiahatch_kernel.registry import PLUGINS
+from cassiahatch_node.control.client import ControlClient, ControlError
+from cassiahatch_node.control.messages import GrantReply, GrantRequest
+from cassiahatch_node.control.tenures import MS_PER_S, QUOTA_PREFIX
+from cassiahatch_node.fleet import Fleet
+from cassiahatch_node.observability.metrics import Metrics
+from cassiahatch_node.settings import PluginSettings, QuotaSettings
+from cassiahatch_policies.once.tenure import Holding, TenureBook
+from cassiahatch_policies.quota import GRANT_TERM_S, Grant
+
+GRANTS_PATH = "/control/grants"
+FETCH_INTERVAL_S = 0.2
+FETCH_TIMEOUT_S = 0.4
+FIRST_WAIT_S = 0.3
+"""How long a request waits for units when its node holds none."""
+EMPTY_TERM_S = 0.2
+"""How long an empty reply is taken to hold."""
+IDLE_S = 2.0
+
+
+class NotKeeperError(CodedError):
+    """The node does not keep that part of the plans."""
+
+    code = "not_keeper"
+    status = 409
+
+
+def find_group(customer: str, groups: int) -> int:
+    """Return the group of keepers to which a customer belongs."""
+    return hash_text(customer) % groups
+
+
+class QuotaKeeper:
+    """Grants units of the quota partitions that this node holds.
+
+    Parameters
+    ----------
+    plugins : PluginSettings
+        Names the bucket to use.
+    fleet : Fleet
+        Has the lists in force.
+    book : TenureBook
+        The tenures held.
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ("_book", "_buckets", "_clock", "_fleet", "_plugins")
+
+    def __init__(
+        self, plugins: PluginSettings, fleet: Fleet, book: TenureBook, clock: Clock
+    ) -> None:
+        self._plugins = plugins
+        self._fleet = fleet
+        self._book = book
+        self._clock = clock
+        self._buckets: dict[tuple[str, str], _Kept] = {}
+
+    def grant(self, request: GrantRequest) -> GrantReply:
+        """Give out units.
+
+        Raises
+        ------
+        NotKeeperError
+            If no tenure held by this node allows it now.
+        """
+        now_ms = int(self._clock.wall() * MS_PER_S)
+        held = self._book.find(request.partition)
+        if held is None or not self._book.accept(request.partition, now_ms):
+            raise NotKeeperError(f"this node does not keep {request.partition}")
+        given = {
+            customer: self._grant_one(held, customer, units)
+            for customer, units in request.wanted.items()
+        }
+        return GrantReply(given)
+
+    def _grant_one(self, held: Holding, customer: str, wanted: int) -> int:
+        plan = self._fleet.plans.find_plan(customer)
+        if plan is None:
+            return 0
+        version = self._fleet.plans.version
+        key = (held.tenure.partition, customer)
+        kept = self._buckets.get(key)
+        if kept is None or kept.epoch != held.tenure.epoch:
+            bucket = PLUGINS.create(
+                "quota_keeper", self._plugins.quota_keeper, plan, held.since
+            )
+            kept = self._buckets[key] = _Kept(bucket, held.tenure.epoch, version)
+        now = self._clock.monotonic()
+        if kept.version != version:
+            kept.bucket.change(plan, now)
+            kept.version = version
+        return kept.bucket.grant(wanted, now)
+
+
+@dataclass(slots=True)
+class _Kept:
+    bucket: Any
+    epoch: int
+    version: int
+
+
+@dataclass(slots=True)
+class _Account:
+    wallet: Any
+    filled: asyncio.Event = field(default_factory=asyncio.Event)
+    empty_at: float = float("-inf")
+
+
+class QuotaClient:
+    """Pays for the requests that callers bring to this node.
+
+    Parameters
+    ----------
+    settings, plugins : QuotaSettings, PluginSettings
+        Keepers and groups, and the name of the wallet to use.
+    fleet : Fleet
+        Knows who keeps what.
+    keeper : QuotaKeeper
+        Asked directly where this node is the keeper.
+    client : ControlClient
+        Reaches the other keepers.
+    clock : Clock
+        Source of time.
+    metrics : Metrics
+        Counts.
+    source : random.Random
+        Spreads the exchanges.
+    """
+
+    __slots__ = (
+        "_accounts",
+        "_client",
+        "_clock",
+        "_fleet",
+        "_keeper",
+        "_metrics",
+        "_plugins",
+        "_settings",
+        "_source",
+        "_wake",
+    )
+
+    def __init__(
+        self,
+        settings: QuotaSettings,
+        plugins: PluginSettings,
+        fleet: Fleet,
+        keeper: QuotaKeeper,
+        client: ControlClient,
+        clock: Clock,
+        metrics: Metrics,
+        source: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._plugins = plugins
+        self._fleet = fleet
+        self._keeper = keeper
+        self._client = client
+        self._clock = clock
+        self._metrics = metrics
+        self._source = source
+        self._accounts: dict[str, _Account] = {}
+        self._wake = asyncio.Event()
+
+    async def run(self) -> None:
+        """Fetch units ahead of demand for as long as the node lives."""
+        while True:
+            try:
+                async with asyncio.timeout(
+                    FETCH_INTERVAL_S if self._accounts else None
+                ):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            await self._fetch()
+            self._drop_idle()
+
+    async def pay(self, customer: str) -> bool:
+        """Pay for one request of a customer, and tell whether its plan allowed it."""
+        now = self._clock.monotonic()
+        account = self._accounts.get(customer)
+        if account is None:
+            wallet = PLUGINS.create(
+                "quota_wallet",
+                self._plugins.quota_wallet,
+                self._settings.keepers,
+                now,
+            )
+            account = self._accounts[customer] = _Account(wallet)
+        if account.wallet.take(now):
+            return True
+        if now - account.empty_at < EMPTY_TERM_S:
+            return False
+        return await self._wait_for_units(account)
+
+    async def _wait_for_units(self, account: _Account) -> bool:
+        account.filled.clear()
+        self._wake.set()
+        try:
+            async with asyncio.timeout(FIRST_WAIT_S):
+                await account.filled.wait()
+        except TimeoutError:
+            pass
+        return account.wallet.pay(self._clock.monotonic())
+
+    async def _fetch(self) -> None:
+        now = self._clock.monotonic()
+        groups: dict[int, dict[str, int]] = {}
+        for customer, account in self._accounts.items():
+            ask = account.wallet.compute_ask(now)
+            if ask:
+                group = find_group(customer, self._settings.groups)
+                groups.setdefault(group, {})[customer] = ask
+        exchanges = [self._fetch_group(group, asks) for group, asks in groups.items()]
+        await asyncio.gather(*exchanges)
+
+    async def _fetch_group(self, group: int, asks: dict[str, int]) -> None:
+        keepers = range(self._settings.keepers)
+        share = {
+            customer: math.ceil(ask / self._settings.keepers)
+            for customer, ask in asks.items()
+        }
+        asked_at = self._clock.monotonic()
+        replies = await asyncio.gather(
+            *(
+                self._ask(GrantRequest(f"{QUOTA_PREFIX}{group}/{keeper}", share))
+                for keeper in keepers
+            )
+        )
+        for customer in asks:
+            units = sum(reply.given.get(customer, 0) for reply in replies)
+            self._fill(customer, units, asked_at)
+
+    def _fill(self, customer: str, units: int, asked_at: float) -> None:
+        account = self._accounts.get(customer)
+        if account is None:
+            return
+        account.wallet.add(Grant(units, asked_at + GRANT_TERM_S))
+        if not units:
+            account.empty_at = self._clock.monotonic()
+        account.filled.set()
+
+    async def _ask(self, request: GrantRequest) -> GrantReply:
+        holder = self._fleet.roster.find_holder(request.partition)
+        if holder is None:
+            self._metrics.count("quota_without_keeper")
+            return GrantReply({})
+        try:
+            if holder.node_id == self._fleet.own.node_id:
+                return self._keeper.grant(request)
+            return await self._client.post(
+                holder.address, GRANTS_PATH, request, GrantReply, FETCH_TIMEOUT_S
+            )
+        except (ControlError, NotKeeperError):
+            self._metrics.count("quota_ask_failures")
+            return GrantReply({})
+
+    def _drop_idle(self) -> None:
+        now = self._clock.monotonic()
+        for customer, account in list(self._accounts.items()):
+            if now - account.wallet.last_used > IDLE_S:
+                del self._accounts[customer]
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/control/tenures.py
@@ -0,0 +1,380 @@
+"""The task that claims, renews and hands over tenures in the table."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from cassiahatch_kernel.clock import Clock
+from cassiahatch_kernel.hashing import hash_text
+from cassiahatch_kernel.members import Claim, Member, MemberState
+from cassiahatch_kernel.ports import (
+    ABSENT,
+    BadStoreDataError,
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    StoreUnavailableError,
+    Table,
+    Write,
+)
+from cassiahatch_node.control.client import ControlClient, ControlError
+from cassiahatch_node.control.messages import Acknowledgement, HandoverRequest
+from cassiahatch_node.fleet import Fleet
+from cassiahatch_node.observability.events import log_event, log_warning
+from cassiahatch_node.once import OnceGuard
+from cassiahatch_node.settings import Settings
+from cassiahatch_policies.once.tenure import (
+    Holding,
+    Tenure,
+    TenureBook,
+    TenurePolicy,
+    plan_claim,
+    plan_renewal,
+    plan_transfer,
+)
+
+INTERVAL_S = 0.5
+SETTLE_S = 1.5
+"""Pause after a start in which other members become known."""
+YIELD_S = 2.0
+"""How long a free partition is left to the member that comes first for it."""
+RECHECK_S = 30.0
+"""How often the row of a partition with another holder is read."""
+STAGE_TERM_S = 10.0
+STAGE_POLL_S = 0.1
+RUNNING_POLL_S = 0.02
+HANDOVER_PATH = "/control/handover"
+ROW_PREFIX = "tenure/"
+QUOTA_PREFIX = "quota/"
+MS_PER_S = 1000
+
+Partitions = Callable[[], Iterable[str]]
+
+
+class TenureKeeper:
+    """Keeps this node's share of the partitions that it may hold.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the node.
+    fleet : Fleet
+        Members, and this node's own record.
+    book : TenureBook
+        The tenures held.
+    guard : OnceGuard
+        Holds the records that go with the tenures.
+    table : Table
+        The platform's table service.
+    client : ControlClient
+        Reaches successors.
+    clock : Clock
+        Source of time.
+    source : random.Random
+        Spreads the checks.
+    """
+
+    __slots__ = (
+        "_book",
+        "_client",
+        "_clock",
+        "_fleet",
+        "_guard",
+        "_next_checks",
+        "_policy",
+        "_settings",
+        "_source",
+        "_table",
+        "_transfers",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        fleet: Fleet,
+        book: TenureBook,
+        guard: OnceGuard,
+        table: Table,
+        client: ControlClient,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._fleet = fleet
+        self._book = book
+        self._guard = guard
+        self._table = table
+        self._client = client
+        self._clock = clock
+        self._source = source
+        self._next_checks: dict[str, float] = {}
+        self._transfers = 0
+        once = settings.once
+        self._policy = TenurePolicy(
+            int(once.tenure_s * MS_PER_S),
+            int(once.renew_before_s * MS_PER_S),
+            int(once.skew_s * MS_PER_S),
+        )
+
+    async def run(self) -> None:
+        """Claim, renew and balance for as long as the node lives."""
+        await asyncio.sleep(SETTLE_S)
+        while True:
+            try:
+                await self._resolve_closed()
+                await self._renew()
+                await self._claim()
+                await self._balance()
+            except StoreUnavailableError as error:
+                log_event("tenures_wait", error=error.detail)
+            except BadStoreDataError as error:
+                log_warning("bad_tenure_row", error=error.detail)
+            self._publish()
+            self._guard.forget_expired()
+            await asyncio.sleep(INTERVAL_S * (0.5 + self._source.random()))
+
+    def list_partitions(self) -> list[str]:
+        """Return the partitions that this node may hold."""
+        own = self._fleet.own
+        if own.state is not MemberState.READY:
+            return []
+        quota = self._settings.quota
+        partitions = [
+            f"{QUOTA_PREFIX}{group}/{keeper}"
+            for group in range(quota.groups)
+            for keeper in range(quota.keepers)
+        ]
+        if any(not route.idempotent for route in own.routes):
+            shards = range(self._settings.once.shards)
+            partitions += [f"{own.service}/{shard}" for shard in shards]
+        return partitions
+
+    async def hand_over_all(self) -> None:
+        """Hand every tenure over to other members, before this node stops."""
+        own = self._fleet.own
+        for holding in self._book.list_open():
+            successor = self._choose(holding.tenure.partition, own.node_id)
+            if successor is None:
+                continue
+            try:
+                await self._hand_over(holding, successor)
+            except (StoreUnavailableError, BadStoreDataError) as error:
+                log_warning("handover_failed", error=error.detail)
+        self._publish()
+
+    def stage(self, request: HandoverRequest) -> None:
+        """Take in the records of a tenure that is about to be this node's."""
+        self._guard.expect(request.tenure.partition)
+        asyncio.create_task(self._await_staged(request))
+
+    async def _renew(self) -> None:
+        for holding in self._book.list_open():
+            longer = plan_renewal(holding.tenure, self._now_ms(), self._policy)
+            if longer is not None:
+                await self._write(longer, holding.row_version)
+
+    async def _resolve_closed(self) -> None:
+        """Settle hand-overs of which it is not known whether the table took them.
+
+        Writing the row again makes a hand-over that is still on its way fail.
+        """
+        for holding in self._book.list_closed():
+            if await self._write(holding.tenure, holding.row_version):
+                self._book.reopen(holding.tenure.partition)
+
+    async def _claim(self) -> None:
+        now = self._clock.monotonic()
+        for partition in self.list_partitions():
+            if self._book.find(partition) is not None:
+                continue
+            if now < self._next_checks.get(partition, 0.0):
+                continue
+            if not self._is_due(partition):
+                continue
+            is_first = partition not in self._next_checks
+            self._next_checks[partition] = now + RECHECK_S
+            await self._try_claim(partition, is_first)
+
+    def _is_due(self, partition: str) -> bool:
+        holder = self._fleet.roster.find_holder(partition)
+        if partition not in self._next_checks or holder is None:
+            return True
+        return self._choose(partition, holder.node_id) == self._fleet.own
+
+    async def _try_claim(self, partition: str, is_first: bool) -> None:
+        row = await self._table.read(ROW_PREFIX + partition)
+        current = _decode(row)
+        own = self._fleet.own
+        if current is None and is_first and self._choose(partition) != own:
+            self._next_checks[partition] = self._clock.monotonic() + YIELD_S
+            return
+        if current is not None and self._owns(current) and not current.transfer_id:
+            self._hold(current, row.version)
+            return
+        tenure = plan_claim(
+            current,
+            partition,
+            own.identity,
+            own.incarnation,
+            self._now_ms(),
+            self._policy,
+        )
+        if tenure is not None:
+            await self._write(tenure, row.version if row else ABSENT)
+
+    async def _balance(self) -> None:
+        """Hand one tenure to a member that holds far fewer."""
+        own = self._fleet.own
+        for holding in self._book.list_open():
+            partition = holding.tenure.partition
+            successor = self._choose(partition)
+            if successor is None or successor == own:
+                continue
+            if len(successor.claims) + 1 < len(own.claims):
+                await self._hand_over(holding, successor)
+                return
+
+    def _choose(self, partition: str, without: str = "") -> Member | None:
+        """Return the member that comes first for a partition by hash."""
+        if partition.startswith(QUOTA_PREFIX):
+            members = self._fleet.roster.list_members()
+            candidates = [m for m in members if m.state is MemberState.READY]
+        else:
+            service = partition.partition("/")[0]
+            candidates = self._fleet.roster.list_service(service)
+        return max(
+            (m for m in candidates if m.node_id != without),
+            key=lambda m: hash_text(f"{partition}|{m.node_id}"),
+            default=None,
+        )
+
+    async def _hand_over(self, holding: Holding, successor: Member) -> None:
+        partition = holding.tenure.partition
+        closed = self._book.close(partition)
+        if closed is None:
+            return
+        while self._guard.ledger.count_running(partition):
+            await asyncio.sleep(RUNNING_POLL_S)
+        self._transfers += 1
+        own = self._fleet.own
+        transfer_id = f"{own.identity}/{own.incarnation}/{self._transfers}"
+        next_tenure = plan_transfer(
+            closed.tenure, successor.identity, successor.incarnation, transfer_id
+        )
+        records = tuple(self._guard.ledger.export(partition))
+        try:
+            await self._client.post(
+                successor.address,
+                HANDOVER_PATH,
+                HandoverRequest(next_tenure, records),
+                Acknowledgement,
+            )
+        except ControlError as error:
+            log_event("handover_refused", partition=partition, error=error.detail)
+            self._book.reopen(partition)
+            return
+        if await self._write(next_tenure, closed.row_version):
+            self._guard.forward(partition, successor.node_id)
+            self._give_up(partition)
+
+    def _give_up(self, partition: str) -> None:
+        self._book.drop(partition)
+        self._guard.ledger.drop(partition)
+        self._next_checks[partition] = self._clock.monotonic() + RECHECK_S
+        self._publish()
+
+    async def _await_staged(self, request: HandoverRequest) -> None:
+        tenure = request.tenure
+        deadline = self._clock.monotonic() + STAGE_TERM_S
+        try:
+            while self._clock.monotonic() < deadline:
+                if await self._take_staged(request):
+                    return
+                await asyncio.sleep(STAGE_POLL_S)
+        finally:
+            self._guard.stop_expecting(tenure.partition)
+        log_warning("handover_not_seen", partition=tenure.partition)
+
+    async def _take_staged(self, request: HandoverRequest) -> bool:
+        try:
+            row = await self._table.read(ROW_PREFIX + request.tenure.partition)
+        except StoreUnavailableError:
+            return False
+        if row is None or _decode(row) != request.tenure:
+            return False
+        self._guard.ledger.adopt(list(request.records))
+        self._hold(request.tenure, row.version)
+        self._publish()
+        return True
+
+    async def _write(self, tenure: Tenure, row_version: int) -> bool:
+        """Write a row and tell whether it is in force; settle a lost answer."""
+        key = ROW_PREFIX + tenure.partition
+        try:
+            result = await self._table.transact(
+                [Condition(key, row_version)],
+                [Write(key, msgspec.json.encode(tenure))],
+            )
+        except StoreUnavailableError:
+            return await self._read_back(tenure)
+        match result:
+            case Committed():
+                self._take(tenure, result.revision)
+                return True
+            case Conflict():
+                return await self._read_back(tenure)
+
+    async def _read_back(self, tenure: Tenure) -> bool:
+        row = await self._table.read(ROW_PREFIX + tenure.partition)
+        current = _decode(row)
+        if row is None or current is None:
+            return False
+        if current == tenure:
+            self._take(current, row.version)
+            return True
+        if not self._owns(current):
+            self._lose(current)
+        elif self._book.find(current.partition) is not None:
+            self._hold(current, row.version)
+        return False
+
+    def _take(self, tenure: Tenure, row_version: int) -> None:
+        if self._owns(tenure):
+            self._hold(tenure, row_version)
+            log_event("tenure_held", partition=tenure.partition, epoch=tenure.epoch)
+
+    def _hold(self, tenure: Tenure, row_version: int) -> None:
+        self._book.hold(tenure, row_version, self._clock.monotonic())
+
+    def _lose(self, current: Tenure) -> None:
+        if self._book.find(current.partition) is not None:
+            log_warning("tenure_lost", partition=current.partition, to=current.owner)
+            self._give_up(current.partition)
+
+    def _owns(self, tenure: Tenure) -> bool:
+        own = self._fleet.own
+        return (tenure.owner, tenure.incarnation) == (own.identity, own.incarnation)
+
+    def _publish(self) -> None:
+        claims = tuple(
+            Claim(held.tenure.partition, held.tenure.epoch)
+            for held in self._book.list_open()
+        )
+        self._fleet.set_claims(tuple(sorted(claims, key=lambda c: c.partition)))
+
+    def _now_ms(self) -> int:
+        return int(self._clock.wall() * MS_PER_S)
+
+
+def _decode(row: Row | None) -> Tenure | None:
+    if row is None:
+        return None
+    try:
+        return msgspec.json.decode(row.value, type=Tenure)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise BadStoreDataError(f"{row.key}: {error}") from None
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/frontends/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP front ends."""
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/ingress.py
@@ -0,0 +1,331 @@
+"""The guard of the backend server beside the node."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from tornado.httputil import HTTPHeaders
+
+from cassiahatch_kernel.calls import Call, CallContext
+from cassiahatch_kernel.clock import Clock
+from cassiahatch_kernel.members import Route, find_route
+from cassiahatch_kernel.outcomes import Outcome, Refusal, Unknown
+from cassiahatch_kernel.registry import PLUGINS
+from cassiahatch_node.backend.client import (
+    CUSTOMER_HEADER,
+    REMAINING_HEADER,
+    REQUEST_ID_HEADER,
+    TOKEN_HEADER,
+    BackendClient,
+    Ending,
+    probe_port,
+)
+from cassiahatch_node.backend.running import RunningCall, RunningCalls
+from cassiahatch_node.backend.server import Announcement, read_routes
+from cassiahatch_node.observability.events import log_event, log_warning
+from cassiahatch_node.observability.metrics import Metrics
+from cassiahatch_node.observability.tracing import Hop, Tracing
+from cassiahatch_node.settings import Settings
+from cassiahatch_node.wire import Load
+from cassiahatch_policies.admission import Completion, Ticket, TicketState
+from cassiahatch_policies.quarantine import Crash, compute_fingerprint
+
+TICK_INTERVAL_S = 0.05
+CRASH_SETTLE_S = 0.05
+"""How long to collect broken connections before the backend server is probed."""
+CANCEL_GRACE_S = 2.0
+"""How long a cancelled call may keep its slot when the backend server is silent."""
+
+
+@dataclass(slots=True)
+class BackendServer:
+    """The backend server as announced, and the admission to it."""
+
+    announcement: Announcement
+    routes: tuple[Route, ...]
+    admission: Any
+    refuse_from: float = float("inf")
+    """Monotonic seconds from which a draining backend server gets no new calls."""
+    broken: list[str] = field(default_factory=list)
+    """Fingerprints of calls whose connection broke and was not yet looked into."""
+
+
+class Ingress:
+    """Decides which calls the backend server gets, and runs them.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the node.
+    clock : Clock
+        Source of time.
+    client : BackendClient
+        Sends calls to the backend server.
+    metrics, tracing : Metrics, Tracing
+        Where measurements go.
+    quarantine : object
+        The quarantine plug-in.
+    """
+
+    __slots__ = (
+        "_client",
+        "_clock",
+        "_crashes",
+        "_metrics",
+        "_quarantine",
+        "_settings",
+        "_tracing",
+        "backend",
+        "on_crash",
+        "running",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        client: BackendClient,
+        metrics: Metrics,
+        tracing: Tracing,
+        quarantine: Any,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._client = client
+        self._metrics = metrics
+        self._tracing = tracing
+        self._quarantine = quarantine
+        self._crashes = 0
+        self.backend: BackendServer | None = None
+        self.running = RunningCalls()
+        self.on_crash = _ignore_crash
+
+    @property
+    def load(self) -> Load:
+        """How busy the backend server is."""
+        if self.backend is None:
+            return Load()
+        admission = self.backend.admission
+        return Load(admission.in_flight + admission.queued, admission.level)
+
+    def attach(self, announcement: Announcement) -> bool:
+        """Take in a backend server that announced itself, and tell if it is new."""
+        if self.backend is not None:
+            if self.backend.announcement.instance == announcement.instance:
+                return False
+            if self.backend.broken:
+                broken, self.backend.broken = self.backend.broken, []
+                self._report_crash(broken)
+        admission = PLUGINS.create(
+            "admission",
+            self._settings.plugins.admission,
+            announcement.slots,
+            self._clock.monotonic(),
+        )
+        routes = read_routes(announcement)
+        self.backend = BackendServer(announcement, routes, admission)
+        return True
+
+    def drain(self) -> None:
+        """Refuse new calls once the notice has passed."""
+        if self.backend is not None:
+            notice = self._settings.calls.drain_notice_s
+            refuse_from = self._clock.monotonic() + notice
+            self.backend.refuse_from = min(self.backend.refuse_from, refuse_from)
+
+    def detach(self) -> None:
+        """Forget the backend server."""
+        self.backend = None
+
+    async def tick(self) -> None:
+        """Move admission on for as long as the node lives."""
+        while True:
+            await asyncio.sleep(TICK_INTERVAL_S)
+            if self.backend is not None:
+                self.backend.admission.tick(self._clock.monotonic())
+
+    async def serve(self, call: Call, context: CallContext) -> Outcome:
+        """Run a call at the backend server, or refuse it."""
+        refusal = self._check(call)
+        if refusal is not None:
+            return self._count_refusal(refusal, context)
+        backend = self.backend
+        fingerprint = compute_fingerprint(call)
+        now = self._clock.monotonic()
+        if self._quarantine.is_quarantined(fingerprint, now):
+            detail = "the request crashed two backend servers"
+            return self._count_refusal(
+                Refusal("quarantined", detail, 422, level=0), context
+            )
+        with self._tracing.open_span("ingress", context.traceparent) as hop:
+            hop.note("request_id", context.request_id)
+            ticket = backend.admission.request(context.priority, context.deadline, now)
+            await self._wait_for_slot(backend, ticket)
+            self._metrics.record("queue_wait", self._clock.monotonic() - now)
+            if ticket.state is not TicketState.ADMITTED:
+                hop.note("refused", ticket.state.name)
+                return self._count_refusal(_refuse(ticket, backend), context)
+            if not self._quarantine.enter(fingerprint, now):
+                backend.admission.finish(ticket, Completion.FAILED, now)
+                detail = "another suspect runs; send it again later"
+                return self._count_refusal(
+                    Refusal("suspect_waits", detail, 503, elsewhere=True), context
+                )
+            return await self._run(backend, ticket, call, context, hop, fingerprint)
+
+    def _check(self, call: Call) -> Refusal | None:
+        backend = self.backend
+        if backend is None or backend.announcement.service != call.service:
+            detail = f"no backend server of {call.service} beside this node"
+            return Refusal("no_backend", detail, elsewhere=True)
+        if self._clock.monotonic() >= backend.refuse_from:
+            return Refusal("draining", "the backend server is leaving", elsewhere=True)
+        route = find_route(backend.routes, call.method, call.path)
+        if route is None:
+            return Refusal("unknown_route", "no such route was announced", 404)
+        return None
+
+    def _count_refusal(self, refusal: Refusal, context: CallContext) -> Refusal:
+        self._metrics.count(f"refused:{refusal.code}")
+        return replace(refusal, unused_retries=context.retries)
+
+    async def _wait_for_slot(self, backend: BackendServer, ticket: Ticket) -> None:
+        if ticket.state is not TicketState.QUEUED:
+            return
+        decided = asyncio.Event()
+        ticket.notify = decided.set
+        try:
+            await decided.wait()
+        except asyncio.CancelledError:
+            backend.admission.abandon(ticket)
+            self._give_back(backend, ticket)
+            raise
+
+    def _give_back(self, backend: BackendServer, ticket: Ticket) -> None:
+        if ticket.state is TicketState.ADMITTED:
+            now = self._clock.monotonic()
+            backend.admission.finish(ticket, Completion.FAILED, now)
+
+    async def _run(
+        self,
+        backend: BackendServer,
+        ticket: Ticket,
+        call: Call,
+        context: CallContext,
+        hop: Hop,
+        fingerprint: str,
+    ) -> Outcome:
+        account = PLUGINS.create(
+            "retries", self._settings.plugins.retries, context.retries
+        )
+        running = self.running.add(call, context, account)
+        headers = _make_headers(running, hop, self._clock.monotonic())
+        started = self._clock.monotonic()
+        remaining = context.deadline - started
+        sending = asyncio.create_task(
+            self._client.send(backend.announcement.port, call, headers, remaining)
+        )
+        sending.add_done_callback(
+            lambda done: self._settle(backend, ticket, running, fingerprint, done)
+        )
+        try:
+            outcome, _ending = await asyncio.shield(sending)
+        except asyncio.CancelledError:
+            self._cancel(backend, running, sending)
+            raise
+        if isinstance(outcome, Unknown) and outcome.code == "deadline":
+            self._cancel(backend, running, sending)
+        self._metrics.record("backend", self._clock.monotonic() - started)
+        hop.note("outcome", type(outcome).__name__)
+        level = max(running.level, backend.admission.level)
+        return replace(outcome, unused_retries=account.available, level=level)
+
+    def _settle(
+        self,
+        backend: BackendServer,
+        ticket: Ticket,
+        running: RunningCall,
+        fingerprint: str,
+        done: asyncio.Task[tuple[Outcome, Ending]],
+    ) -> None:
+        now = self._clock.monotonic()
+        ending = Ending.LATE if done.cancelled() else done.result()[1]
+        if ending is Ending.BROKEN:
+            self._note_broken(backend, fingerprint)
+        self.running.remove(running)
+        running.cancel_deeper()
+        self._quarantine.leave(fingerprint, survived=ending is Ending.ANSWERED)
+        completion = {
+            Ending.ANSWERED: Completion.SUCCEEDED,
+            Ending.SHED: Completion.SHED,
+        }.get(ending, Completion.FAILED)
+        backend.admission.finish(ticket, completion, now)
+
+    def _cancel(
+        self,
+        backend: BackendServer,
+        running: RunningCall,
+        sending: asyncio.Task[tuple[Outcome, Ending]],
+    ) -> None:
+        running.cancel_deeper()
+        path = backend.announcement.cancel_path
+        if path and running.call.idempotent:
+            self._metrics.count("cancelled")
+            asyncio.create_task(
+                self._client.cancel(backend.announcement.port, path, running.token)
+            )
+        if not sending.done():
+            loop = asyncio.get_running_loop()
+            loop.call_later(CANCEL_GRACE_S, sending.cancel)
+
+    def _note_broken(self, backend: BackendServer, fingerprint: str) -> None:
+        backend.broken.append(fingerprint)
+        if len(backend.broken) == 1:
+            asyncio.create_task(self._verify_crash(backend))
+
+    async def _verify_crash(self, backend: BackendServer) -> None:
+        await asyncio.sleep(CRASH_SETTLE_S)
+        broken, backend.broken = backend.broken, []
+        if not broken or await probe_port(backend.announcement.port):
+            return
+        if self.backend is backend:
+            self.backend = None
+        self._report_crash(broken)
+
+    def _report_crash(self, broken: list[str]) -> None:
+        self._crashes += 1
+        crash = Crash(
+            f"{self._settings.node.id}/{self._clock.wall():.3f}/{self._crashes}",
+            self._quarantine.find_blame(broken),
+        )
+        self._metrics.count("backend_crashes")
+        log_warning("backend_crashed", crash=crash.crash_id, running=len(broken))
+        self.on_crash(crash)
+
+
+def _ignore_crash(crash: Crash) -> None:
+    log_event("crash_not_reported", crash=crash.crash_id)
+
+
+def _refuse(ticket: Ticket, backend: BackendServer) -> Outcome:
+    if ticket.state is TicketState.EXPIRED:
+        return Refusal("expired", "the deadline passed in the queue", 504)
+    level = max(backend.admission.level, ticket.priority + 1)
+    return Refusal("overloaded", "refused by importance", 503, level=level)
+
+
+def _make_headers(running: RunningCall, hop: Hop, now: float) -> HTTPHeaders:
+    headers = HTTPHeaders()
+    for header in running.call.headers:
+        headers.add(header.name, header.value)
+    context = running.context
+    headers[TOKEN_HEADER] = running.token
+    headers[REMAINING_HEADER] = str(int((context.deadline - now) * 1000))
+    headers[CUSTOMER_HEADER] = context.customer
+    headers[REQUEST_ID_HEADER] = context.request_id
+    headers["traceparent"] = hop.traceparent
+    if running.call.key:
+        headers["Idempotency-Key"] = running.call.key
+    return headers
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, traces and logs."""
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/observability/metrics.py
@@ -0,0 +1,50 @@
+"""Counters and latency histograms of a process."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+US_PER_S = 1_000_000
+
+
+class Metrics:
+    """Counters by name, and latencies by name."""
+
+    __slots__ = ("counters", "histograms")
+
+    def __init__(self) -> None:
+        self.counters: Counter[str] = Counter()
+        self.histograms: dict[str, HdrHistogram] = {}
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name] += amount
+
+    def record(self, name: str, seconds: float) -> None:
+        """Record a latency."""
+        histogram = self.histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self.histograms[name] = histogram
+        histogram.record_value(max(LOWEST_US, int(seconds * US_PER_S)))
+
+    def render(self) -> str:
+        """Return all in the text format that Prometheus reads."""
+        lines = []
+        for name, value in sorted(self.counters.items()):
+            family, _, code = name.partition(":")
+            label = f'{{code="{code}"}}' if code else ""
+            lines.append(f"cassiahatch_{family}_total{label} {value}")
+        for name, histogram in sorted(self.histograms.items()):
+            metric = f"cassiahatch_{name}_seconds"
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile) / US_PER_S
+                lines.append(f'{metric}{{quantile="{quantile / 100:g}"}} {value:.6f}')
+            lines.append(f"{metric}_count {histogram.get_total_count()}")
+        return "\n".join(lines) + "\n"
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between nodes."""
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/peers/link.py
@@ -0,0 +1,224 @@
+"""The client end of a peer link: one connection that carries many calls."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+from tornado.httpclient import HTTPRequest
+from tornado.websocket import (
+    WebSocketClientConnection,
+    WebSocketClosedError,
+    websocket_connect,
+)
+
+from cassiahatch_kernel.calls import Call, CallContext
+from cassiahatch_kernel.clock import Clock
+from cassiahatch_kernel.outcomes import Outcome, Refusal, Unknown
+from cassiahatch_node.observability.events import log_event
+from cassiahatch_node.observability.metrics import Metrics
+from cassiahatch_node.settings import PeerSettings
+from cassiahatch_node.wire import (
+    BadMessageError,
+    CallMessage,
+    CancelMessage,
+    DrainMessage,
+    Load,
+    OutcomeMessage,
+    decode_message,
+    encode_message,
+    make_call_message,
+    read_outcome,
+)
+
+PEER_PATH = "/peer"
+PEER_KEY_HEADER = "Cassiahatch-Peer-Key"
+FIRST_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 2.0
+MESSAGE_OVERHEAD = 65_536
+"""Bytes that a message may have beyond the largest body."""
+
+LoadListener = Callable[[Load], None]
+DrainListener = Callable[[str], None]
+
+
+class PeerLink:
+    """The one connection to a peer and the calls that wait on it.
+
+    ``run`` is the task of the peer. Calls made meanwhile are matched to outcomes by
+    a number that is never used twice, so a late or repeated outcome finds no call.
+
+    Parameters
+    ----------
+    address : str
+        Host and peer port of the peer.
+    """
+
+    __slots__ = (
+        "_address",
+        "_clock",
+        "_connected",
+        "_connection",
+        "_max_body",
+        "_metrics",
+        "_numbers",
+        "_on_drain",
+        "_on_load",
+        "_pending",
+        "_settings",
+        "last_used",
+    )
+
+    def __init__(
+        self,
+        address: str,
+        settings: PeerSettings,
+        max_body: int,
+        clock: Clock,
+        metrics: Metrics,
+        on_load: LoadListener,
+        on_drain: DrainListener,
+    ) -> None:
+        self._address = address
+        self._settings = settings
+        self._max_body = max_body
+        self._clock = clock
+        self._metrics = metrics
+        self._on_load = on_load
+        self._on_drain = on_drain
+        self._numbers = itertools.count(1)
+        self._pending: dict[int, asyncio.Future[Outcome]] = {}
+        self._connection: WebSocketClientConnection | None = None
+        self._connected = asyncio.Event()
+        self.last_used = clock.monotonic()
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that wait for an outcome."""
+        return len(self._pending)
+
+    async def run(self) -> None:
+        """Connect, read until the connection ends, and begin again."""
+        backoff = FIRST_BACKOFF_S
+        while True:
+            connection = await self._connect()
+            if connection is None:
+                await asyncio.sleep(backoff)
+                backoff = min(MAX_BACKOFF_S, backoff * 2)
+                continue
+            backoff = FIRST_BACKOFF_S
+            self._connection = connection
+            self._connected.set()
+            try:
+                await self._read(connection)
+            finally:
+                self._connected.clear()
+                self._connection = None
+                connection.close()
+                self._fail_pending()
+            log_event("link_lost", peer=self._address)
+
+    async def call(self, call: Call, context: CallContext, as_owner: bool) -> Outcome:
+        """Send a call and wait for its outcome.
+
+        Returns
+        -------
+        Outcome
+            A refusal only when the peer said so, or nothing was sent to it.
+        """
+        self.last_used = self._clock.monotonic()
+        try:
+            async with asyncio.timeout(self._settings.connect_timeout_s):
+                await self._connected.wait()
+        except TimeoutError:
+            return _refuse_unreachable(self._address)
+        number = next(self._numbers)
+        future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+        now = self._clock.monotonic()
+        message = make_call_message(number, call, context, as_owner, now)
+        if not self._send(message):
+            return _refuse_unreachable(self._address)
+        self._pending[number] = future
+        return await self._wait(number, future, context.deadline - now)
+
+    async def _wait(
+        self, number: int, future: asyncio.Future[Outcome], remaining: float
+    ) -> Outcome:
+        try:
+            async with asyncio.timeout(max(0.0, remaining)):
+                return await future
+        except TimeoutError:
+            self._send(CancelMessage(number))
+            return Unknown("deadline", "no answer before the deadline")
+        except asyncio.CancelledError:
+            self._send(CancelMessage(number))
+            raise
+        finally:
+            self._pending.pop(number, None)
+
+    async def _connect(self) -> WebSocketClientConnection | None:
+        request = HTTPRequest(
+            f"ws://{self._address}{PEER_PATH}",
+            headers={PEER_KEY_HEADER: self._settings.key},
+            connect_timeout=self._settings.connect_timeout_s,
+            request_timeout=self._settings.connect_timeout_s,
+        )
+        try:
+            return await websocket_connect(
+                request,
+                ping_interval=self._settings.ping_interval_s,
+                ping_timeout=self._settings.ping_interval_s,
+                max_message_size=self._max_body + MESSAGE_OVERHEAD,
+            )
+        except Exception as error:
+            self._metrics.count("link_connect_failures")
+            log_event("link_refused", peer=self._address, error=str(error))
+            return None
+
+    async def _read(self, connection: WebSocketClientConnection) -> None:
+        while True:
+            body = await connection.read_message()
+            if body is None:
+                return
+            try:
+                self._take(decode_message(body))
+            except BadMessageError as error:
+                self._metrics.count("bad_peer_messages")
+                log_event("bad_peer_message", peer=self._address, error=error.detail)
+                return
+
+    def _take(self, message: object) -> None:
+        match message:
+            case OutcomeMessage():
+                self._on_load(message.load)
+                future = self._pending.pop(message.id, None)
+                if future is None or future.done():
+                    self._metrics.count("late_answers")
+                else:
+                    future.set_result(read_outcome(message))
+            case DrainMessage():
+                self._on_drain(message.node_id)
+            case _:
+                raise BadMessageError("not a message for the calling end")
+
+    def _send(self, message: CallMessage | CancelMessage) -> bool:
+        if self._connection is None:
+            return False
+        try:
+            self._connection.write_message(encode_message(message), binary=True)
+        except WebSocketClosedError:
+            return False
+        return True
+
+    def _fail_pending(self) -> None:
+        pending, self._pending = self._pending, {}
+        for future in pending.values():
+            if not future.done():
+                future.set_result(
+                    Unknown("link_lost", f"the link to {self._address} was lost", 502)
+                )
+
+
+def _refuse_unreachable(address: str) -> Refusal:
+    return Refusal("peer_unreachable", f"no link to {address}", elsewhere=True)
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/peers/pool.py
@@ -0,0 +1,74 @@
+"""The links that a node holds, one for each peer that it calls."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from types import TracebackType
+
+from cassiahatch_kernel.members import Member
+from cassiahatch_node.peers.link import PeerLink
+
+REAP_INTERVAL_S = 5.0
+
+LinkFactory = Callable[[Member], PeerLink]
+
+
+class LinkPool:
+    """Opens a link when it is first needed and ends it when it stays unused.
+
+    Parameters
+    ----------
+    create_link : callable
+        Builds the link to a member.
+    idle_timeout_s : float
+        Seconds after which an unused link is ended.
+    """
+
+    __slots__ = ("_create_link", "_idle_timeout_s", "_links", "_reaper", "_tasks")
+
+    def __init__(self, create_link: LinkFactory, idle_timeout_s: float) -> None:
+        self._create_link = create_link
+        self._idle_timeout_s = idle_timeout_s
+        self._links: dict[str, PeerLink] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._reaper: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> LinkPool:
+        self._reaper = asyncio.create_task(self._reap())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        tasks = list(self._tasks.values())
+        if self._reaper is not None:
+            tasks.append(self._reaper)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def __len__(self) -> int:
+        return len(self._links)
+
+    def get(self, member: Member) -> PeerLink:
+        """Return the link to a member, opening it if there is none."""
+        link = self._links.get(member.address)
+        if link is None:
+            link = self._create_link(member)
+            self._links[member.address] = link
+            self._tasks[member.address] = asyncio.create_task(link.run())
+        return link
+
+    async def _reap(self) -> None:
+        while True:
+            await asyncio.sleep(REAP_INTERVAL_S)
+            now = asyncio.get_running_loop().time()
+            for address, link in list(self._links.items()):
+                is_idle = now - link.last_used > self._idle_timeout_s
+                if is_idle and not link.in_flight:
+                    del self._links[address]
+                    self._tasks.pop(address).cancel()
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/root.py
@@ -0,0 +1,438 @@
+"""The composition root: wires the parts of a node and runs its tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from contextlib import AsyncExitStack
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from cassiahatch_kernel.calls import Call, CallContext
+from cassiahatch_kernel.clock import Clock, SystemClock
+from cassiahatch_kernel.errors import CodedError
+from cassiahatch_kernel.members import Member, MemberState
+from cassiahatch_kernel.outcomes import Outcome, Refusal
+from cassiahatch_kernel.registry import PLUGINS, load_plugins
+from cassiahatch_node.backend.client import LOOPBACK, BackendClient
+from cassiahatch_node.backend.server import Announcement, read_routes
+from cassiahatch_node.control.client import ControlClient
+from cassiahatch_node.control.gossip import Gossip
+from cassiahatch_node.control.quota import QuotaClient, QuotaKeeper
+from cassiahatch_node.control.registration import Poller, Registration
+from cassiahatch_node.control.status import NodeStatus
+from cassiahatch_node.control.tenures import TenureKeeper
+from cassiahatch_node.fleet import Fleet
+from cassiahatch_node.frontends import backend, caller, control
+from cassiahatch_node.ingress import Ingress
+from cassiahatch_node.observability.events import log_event, log_warning
+from cassiahatch_node.observability.metrics import Metrics
+from cassiahatch_node.observability.tracing import Tracing
+from cassiahatch_node.once import OnceGuard
+from cassiahatch_node.peers.link import PEER_PATH, PeerLink
+from cassiahatch_node.peers.pool import LinkPool
+from cassiahatch_node.peers.server import PeerConnection, PeerService
+from cassiahatch_node.router import Router
+from cassiahatch_node.settings import Settings
+from cassiahatch_policies.once import TenureBook
+
+SERVER_PING_INTERVAL_S = 5.0
+IDLE_POLL_S = 0.02
+HEADER_LIMIT_BYTES = 32_768
+BODY_TIMEOUT_S = 10.0
+IDLE_CONNECTION_S = 120.0
+CONTROL_BODY_BYTES = 67_108_864
+LEAVE_TIMEOUT_S = 5.0
+
+
+class AddressInUseError(CodedError):
+    """A port of the settings can't be listened on."""
+
+    code = "address_in_use"
+
+
+class Node:
+    """One node; a context manager that listens while it is open.
+
+    Parameters
+    ----------
+    settings : Settings
+        The checked settings.
+    clock : Clock, optional
+        Source of time.
+    source : random.Random, optional
+        Where random choices come from.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock | None = None,
+        source: random.Random | None = None,
+    ) -> None:
+        load_plugins()
+        self._settings = settings
+        self._clock = clock or SystemClock()
+        self._stack = AsyncExitStack()
+        self._stopping = asyncio.Event()
+        self._draining: asyncio.Task[None] | None = None
+        self._wire(source or random.Random())
+
+    def _wire(self, source: random.Random) -> None:
+        settings, clock = self._settings, self._clock
+        plugins = settings.plugins
+        calls = settings.calls
+        self.metrics = Metrics()
+        self.tracing = Tracing(settings.node.id, settings.tracing)
+        self._quarantine = PLUGINS.create("quarantine", plugins.quarantine)
+        roster = PLUGINS.create("membership", plugins.membership)
+        self.fleet = Fleet(settings.node, clock, roster)
+        self._table = PLUGINS.create(
+            "table",
+            plugins.table,
+            settings.platform.table,
+            settings.platform.timeout_s,
+        )
+        self._objects = PLUGINS.create(
+            "objects",
+            plugins.objects,
+            settings.platform.objects,
+            settings.platform.timeout_s,
+        )
+        self._control = ControlClient(settings.peers.key, self.metrics)
+        self._backend_client = BackendClient(
+            calls.max_connections, calls.max_body_bytes
+        )
+        self.ingress = Ingress(
+            settings,
+            clock,
+            self._backend_client,
+            self.metrics,
+            self.tracing,
+            self._quarantine,
+        )
+        self._book = TenureBook()
+        self.guard = OnceGuard(
+            settings.once, clock, self._book, self.ingress.serve, self._send_on
+        )
+        self.router = Router(
+            settings, clock, source, roster, self.metrics, self.tracing, self._serve
+        )
+        self._pool = LinkPool(self._create_link, settings.peers.idle_timeout_s)
+        self.router.pool = self._pool
+        self.gossip = Gossip(
+            settings.peers, self.fleet, self._quarantine, self._control, clock, source
+        )
+        self.fleet.on_change = self.gossip.spread
+        self.ingress.on_crash = self._take_crash
+        self.tenures = TenureKeeper(
+            settings,
+            self.fleet,
+            self._book,
+            self.guard,
+            self._table,
+            self._control,
+            clock,
+            source,
+        )
+        self._keeper = QuotaKeeper(plugins, self.fleet, self._book, clock)
+        self._quota = QuotaClient(
+            settings.quota,
+            plugins,
+            self.fleet,
+            self._keeper,
+            self._control,
+            clock,
+            self.metrics,
+            source,
+        )
+        self._registration = Registration(self.fleet, self._table, settings.platform)
+        self._poller = Poller(
+            self.fleet,
+            self.gossip,
+            self._table,
+            self._objects,
+            settings.platform,
+            source,
+        )
+        self._peers = PeerService(
+            settings.peers.key,
+            clock,
+            self.metrics,
+            self._serve,
+            lambda: self.ingress.load,
+            set(),
+        )
+
+    async def __aenter__(self) -> Node:
+        try:
+            await self._open()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        await self._stack.aclose()
+
+    async def run(self) -> None:
+        """Serve until a signal asks to stop, then stop gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        await self._stopping.wait()
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Announce the leaving, finish what is in flight, and leave."""
+        log_event("stopping", node=self._settings.node.id)
+        await self.drain()
+        try:
+            async with asyncio.timeout(self._settings.calls.drain_timeout_s):
+                while any(server.open_requests for server in self._callers):
+                    await asyncio.sleep(IDLE_POLL_S)
+        except TimeoutError:
+            log_warning("stopped_with_open_requests")
+        self.fleet.set_state(MemberState.LEFT)
+        await asyncio.sleep(self._settings.peers.gossip_interval_s / 2)
+
+    async def drain(self) -> None:
+        """Let the backend server leave, and return when its last call has ended."""
+        if self._draining is None and self.fleet.own.state is MemberState.READY:
+            self._draining = asyncio.create_task(self._drain())
+        if self._draining is not None:
+            await asyncio.shield(self._draining)
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take in what the backend server says of itself; a repeat changes nothing."""
+        if self.ingress.attach(announcement):
+            self._draining = None
+            routes = read_routes(announcement)
+            self.fleet.announce(announcement.service, announcement.slots, routes)
+
+    async def _drain(self) -> None:
+        calls = self._settings.calls
+        try:
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                await self.tenures.hand_over_all()
+        except TimeoutError:
+            log_warning("handover_timeout")
+        self.fleet.set_state(MemberState.DRAINING)
+        self._peers.announce_drain(self._settings.node.id)
+        self.ingress.drain()
+        await self._registration.leave()
+        await asyncio.sleep(calls.drain_notice_s)
+        try:
+            async with asyncio.timeout(calls.drain_timeout_s):
+                await self.guard.wait_idle()
+                while len(self.ingress.running):
+                    await asyncio.sleep(IDLE_POLL_S)
+        except TimeoutError:
+            log_warning("drained_with_running_calls", running=len(self.ingress.running))
+
+    def read_status(self) -> NodeStatus:
+        """Return the status of this node."""
+        own = self.fleet.own
+        backend_server = self.ingress.backend
+        admission = backend_server.admission if backend_server else None
+        return NodeStatus(
+            node_id=own.node_id,
+            zone=own.zone,
+            service=own.service,
+            state=own.state.value,
+            lists_version=self.fleet.plans.version,
+            in_flight=admission.in_flight if admission else 0,
+            queued=admission.queued if admission else 0,
+            limit=admission.limit if admission else 0,
+            level=admission.level if admission else 0,
+            members=len(self.fleet.roster),
+            links=len(self._pool),
+            partitions=self.fleet.roster.count_partitions(),
+            tenures=len(self._book.list_open()),
+            keys=len(self.guard.ledger),
+            quarantined=tuple(
+                self._quarantine.list_quarantined(self._clock.monotonic())
+            ),
+            counters=dict(self.metrics.counters),
+        )
+
+    async def _open(self) -> None:
+        stack = self._stack
+        stack.enter_context(self.tracing)
+        for client in (
+            self._table,
+            self._objects,
+            self._control,
+            self._backend_client,
+        ):
+            stack.callback(client.close)
+        self._listen()
+        await stack.enter_async_context(self._pool)
+        for run in (
+            self.ingress.tick,
+            self.gossip.run,
+            self._registration.run,
+            self._poller.run,
+            self.tenures.run,
+            self._quota.run,
+        ):
+            task = asyncio.create_task(run(), name=run.__qualname__)
+            task.add_done_callback(self._stop_on_failure)
+            stack.push_async_callback(_end_task, task)
+        log_event("listening", node=self._settings.node.id)
+
+    def _stop_on_failure(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            log_warning(
+                "task_failed", task=task.get_name(), error=repr(task.exception())
+            )
+            self._stopping.set()
+
+    def _listen(self) -> None:
+        node = self._settings.node
+        body_limit = self._settings.calls.max_body_bytes
+        self._callers = [
+            self._start_server(
+                self._make_caller_application(), node.caller_port, node.host, body_limit
+            ),
+            self._start_server(
+                self._make_backend_application(), node.local_port, LOOPBACK, body_limit
+            ),
+        ]
+        self._start_server(
+            self._make_peer_application(), node.peer_port, node.host, CONTROL_BODY_BYTES
+        )
+
+    def _start_server(
+        self, application: CountingApplication, port: int, host: str, body_limit: int
+    ) -> CountingApplication:
+        server = HTTPServer(
+            application,
+            max_body_size=body_limit,
+            max_header_size=HEADER_LIMIT_BYTES,
+            max_buffer_size=max(body_limit, HEADER_LIMIT_BYTES) + HEADER_LIMIT_BYTES,
+            body_timeout=BODY_TIMEOUT_S,
+            idle_connection_timeout=IDLE_CONNECTION_S,
+        )
+        try:
+            server.listen(port, host)
+        except OSError as error:
+            raise AddressInUseError(f"{host}:{port}: {error.strerror}") from None
+        self._stack.push_async_callback(server.close_all_connections)
+        self._stack.callback(server.stop)
+        return application
+
+    def _make_caller_application(self) -> CountingApplication:
+        service = caller.CallerService(
+            self._settings,
+            self._clock,
+            self.fleet,
+            self.router,
+            self._quota,
+            self.metrics,
+        )
+        return CountingApplication([("/.*", caller.CallerHandler, _pass(service))])
+
+    def _make_backend_application(self) -> CountingApplication:
+        service = backend.BackendService(
+            self._settings,
+            self._clock,
+            self.fleet,
+            self.ingress,
+            self.router,
+            self.announce,
+            self.drain,
+        )
+        return CountingApplication(
+            [
+                ("/v1/announce", backend.AnnounceHandler, _pass(service)),
+                ("/v1/drain", backend.DrainHandler, _pass(service)),
+                ("/v1/leave", backend.LeaveHandler, _pass(service)),
+                ("/call/.*", backend.DeeperCallHandler, _pass(service)),
+            ]
+        )
+
+    def _make_peer_application(self) -> CountingApplication:
+        service = control.ControlService(
+            self._settings.peers.key,
+            self.fleet,
+            self.gossip,
+            self._keeper,
+            self.tenures,
+            self.metrics,
+            self.tracing,
+            self.read_status,
+        )
+        handlers = [
+            (PEER_PATH, PeerConnection, _pass(self._peers)),
+            ("/control/gossip", control.GossipHandler, _pass(service)),
+            ("/control/state", control.StateHandler, _pass(service)),
+            ("/control/lists", control.ListsHandler, _pass(service)),
+            ("/control/grants", control.GrantsHandler, _pass(service)),
+            ("/control/handover", control.HandoverHandler, _pass(service)),
+            ("/control/status", control.StatusHandler, _pass(service)),
+            ("/control/spans", control.SpansHandler, _pass(service)),
+            ("/healthz", control.HealthHandler, _pass(service)),
+            ("/readyz", control.ReadinessHandler, _pass(service)),
+            ("/metrics", control.MetricsHandler, _pass(service)),
+        ]
+        return CountingApplication(
+            handlers,
+            websocket_ping_interval=SERVER_PING_INTERVAL_S,
+            websocket_max_message_size=self._settings.calls.max_body_bytes * 2,
+        )
+
+    async def _serve(self, call: Call, context: CallContext, as_owner: bool) -> Outcome:
+        if call.idempotent:
+            return await self.ingress.serve(call, context)
+        if as_owner:
+            return await self.guard.serve(call, context)
+        return Refusal("not_sent_to_holder", "a key goes to its tenure's holder", 400)
+
+    async def _send_on(self, node_id: str, call: Call, context: CallContext) -> Outcome:
+        member = self.fleet.roster.get(node_id)
+        if member is None:
+            return Refusal("not_holder", f"{node_id} is not known", elsewhere=True)
+        return await self._pool.get(member).call(call, context, as_owner=True)
+
+    def _create_link(self, member: Member) -> PeerLink:
+        return PeerLink(
+            member.address,
+            self._settings.peers,
+            self._settings.calls.max_body_bytes,
+            self._clock,
+            self.metrics,
+            lambda load: self.router.report_load(member.node_id, load),
+            self.fleet.mark_draining,
+        )
+
+    def _take_crash(self, crash: object) -> None:
+        self.fleet.set_state(MemberState.IDLE)
+        self.gossip.report_crash(crash)
+
+
+class CountingApplication(Application):
+    """Counts the requests that are open, so that a stop can wait for them."""
+
+    open_requests = 0
+    """Requests that were not answered yet."""
+
+    def find_handler(self, request: object, **options: object) -> object:
+        """Count a request in."""
+        self.open_requests += 1
+        return super().find_handler(request, **options)
+
+    def log_request(self, handler: object) -> None:
+        """Count a request out; access is counted in metrics, not logged."""
+        self.open_requests -= 1
+
+
+def _pass(service: object) -> dict[str, object]:
+    return {"service": service}
+
+
+async def _end_task(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/settings.py
@@ -0,0 +1,172 @@
+"""The settings file of a node."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from cassiahatch_kernel.errors import CodedError
+
+Port = Annotated[int, Meta(ge=1, le=65535)]
+Seconds = Annotated[float, Meta(gt=0, le=86400)]
+Count = Annotated[int, Meta(ge=1)]
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+HostPort = Annotated[str, Meta(pattern=r"^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$")]
+Url = Annotated[str, Meta(pattern=r"^https?://[^\s/]+$")]
+PeerKey = Annotated[str, Meta(min_length=16)]
+
+
+class SettingsError(CodedError):
+    """The settings file can't be used."""
+
+    code = "bad_settings"
+
+
+class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A table of the settings file; a key it does not know is an error."""
+
+
+class NodeSettings(_Section):
+    """Who the node is, and where it listens."""
+
+    id: Name
+    zone: Name
+    host: Annotated[str, Meta(pattern=r"^[0-9A-Fa-f.:]+$")]
+    """IP number that callers and peers connect to."""
+    caller_port: Port
+    local_port: Port
+    """Loopback port for the backend server beside the node."""
+    peer_port: Port
+
+
+class PeerSettings(_Section):
+    """How nodes find and trust each other."""
+
+    key: PeerKey
+    """Secret shared by the fleet and its operators."""
+    seeds: tuple[HostPort, ...] = ()
+    gossip_interval_s: Seconds = 1.0
+    ping_interval_s: Seconds = 0.8
+    connect_timeout_s: Seconds = 0.5
+    idle_timeout_s: Seconds = 60.0
+
+
+class PlatformSettings(_Section):
+    """Where the platform's services are."""
+
+    table: Url
+    objects: Url
+    timeout_s: Seconds = 2.0
+    poll_interval_s: Seconds = 2.0
+    pollers_per_zone: Count = 2
+
+
+class CallSettings(_Section):
+    """Bounds on calls."""
+
+    retries: Annotated[int, Meta(ge=0, le=100)] = 3
+    """Retries behind one top request, over all its layers."""
+    default_timeout_s: Seconds = 2.0
+    max_timeout_s: Seconds = 30.0
+    max_body_bytes: Count = 1_048_576
+    max_connections: Count = 2000
+    drain_notice_s: Seconds = 1.5
+    """How long calls are still taken after draining was announced."""
+    drain_timeout_s: Seconds = 30.0
+
+
+class OnceSettings(_Section):
+    """Running non-idempotent calls at most once."""
+
+    shards: Annotated[int, Meta(ge=1, le=1024)] = 16
+    tenure_s: Annotated[float, Meta(ge=1, le=86400)] = 7200.0
+    renew_before_s: Seconds = 5400.0
+    skew_s: Seconds = 2.0
+    key_lifetime_s: Seconds = 600.0
+    capacity_bytes: Count = 33_554_432
+
+
+class QuotaSettings(_Section):
+    """Keeping the limits of the plans."""
+
+    keepers: Annotated[int, Meta(ge=1, le=16)] = 4
+    groups: Annotated[int, Meta(ge=1, le=1024)] = 1
+    """Groups into which customers are hashed; each has its own keepers."""
+
+
+class PluginSettings(_Section):
+    """Names of the plug-ins to use."""
+
+    admission: str = "priority"
+    picker: str = "two-choices"
+    retries: str = "account"
+    quarantine: str = "two-crashes"
+    membership: str = "roster"
+    quota_keeper: str = "bucket"
+    quota_wallet: str = "grants"
+    table: str = "http"
+    objects: str = "http"
+
+
+class TracingSettings(_Section):
+    """Where spans go."""
+
+    file: str = ""
+    otlp: str = ""
+    """URL of an OTLP/HTTP trace endpoint."""
+    sample: Annotated[float, Meta(ge=0, le=1)] = 0.01
+
+
+class Settings(_Section):
+    """The whole settings file."""
+
+    node: NodeSettings
+    peers: PeerSettings
+    platform: PlatformSettings
+    calls: CallSettings = CallSettings()
+    once: OnceSettings = OnceSettings()
+    quota: QuotaSettings = QuotaSettings()
+    plugins: PluginSettings = PluginSettings()
+    tracing: TracingSettings = TracingSettings()
+
+
+def load_settings(path: Path) -> Settings:
+    """Read and check a settings file.
+
+    Raises
+    ------
+    SettingsError
+        With the file and the key in its detail.
+    """
+    try:
+        settings = msgspec.toml.decode(path.read_bytes(), type=Settings)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from None
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{path}: {error}") from None
+    except (msgspec.DecodeError, ValueError) as error:
+        raise SettingsError(f"{path}: not TOML: {error}") from None
+    _check_relations(path, settings)
+    return settings
+
+
+def _check_relations(path: Path, settings: Settings) -> None:
+    node = settings.node
+    ports = {node.caller_port, node.local_port, node.peer_port}
+    if len(ports) < 3:
+        raise SettingsError(f"{path}: $.node: the three ports must differ")
+    if settings.once.renew_before_s >= settings.once.tenure_s:
+        raise SettingsError(
+            f"{path}: $.once.renew_before_s: must be below tenure_s "
+            f"({settings.once.tenure_s:g})"
+        )
+    if settings.calls.default_timeout_s > settings.calls.max_timeout_s:
+        raise SettingsError(
+            f"{path}: $.calls.default_timeout_s: must not exceed max_timeout_s"
+        )
+    for number, seed in enumerate(settings.peers.seeds):
+        if not 1 <= int(seed.rpartition(":")[2]) <= 65535:
+            raise SettingsError(f"{path}: $.peers.seeds[{number}]: bad port")
--- /dev/null
+++ b/packages/operator/src/cassiahatch_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators command line."""
--- /dev/null
+++ b/packages/policies/src/cassiahatch_policies/__init__.py
@@ -0,0 +1,1 @@
+"""Decision plug-ins: plain calls on slotted objects that are given the time."""
--- /dev/null
+++ b/packages/standins/src/cassiahatch_standins/deployments.py
@@ -0,0 +1,121 @@
+"""The two deployments of the first users, at a size that fits one machine."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from cassiahatch_kernel.plans import Plan, PlanLists
+from cassiahatch_standins.backend import DeeperCall, RouteConfig
+from cassiahatch_standins.site import ServiceSpec, SiteSpec, make_customer
+
+TRUCKS = DeeperCall("fleet-tracking", "GET", "/trucks")
+SPRAY_PLANS = DeeperCall("spray-dispatch", "GET", "/plans")
+HOLDOVER = DeeperCall("documents", "GET", "/holdover")
+FABRIC = DeeperCall("measurements", "GET", "/stock")
+
+
+def make_hielo_sur(
+    upstreams: int = 4, settings: dict[str, dict[str, Any]] | None = None
+) -> SiteSpec:
+    """Return Hielo Sur Despacho: de-icing queues, dispatch, fleet and documents."""
+    queue = ServiceSpec(
+        "queue-status",
+        slots=40,
+        upstreams=upstreams,
+        connections=275,
+        routes=(
+            RouteConfig("GET", "/queues", 5, "normal", calls=(TRUCKS,)),
+            RouteConfig(
+                "GET", "/overview", 5, "important", calls=(SPRAY_PLANS, HOLDOVER)
+            ),
+        ),
+    )
+    dispatch = ServiceSpec(
+        "spray-dispatch",
+        slots=40,
+        upstreams=upstreams,
+        connections=275,
+        routes=(
+            RouteConfig("GET", "/plans", 5, "normal", calls=(TRUCKS,)),
+            RouteConfig("POST", "/orders", 8, "critical", False, calls=(TRUCKS,)),
+        ),
+    )
+    documents = ServiceSpec(
+        "documents",
+        slots=40,
+        upstreams=upstreams,
+        connections=275,
+        routes=(RouteConfig("GET", "/holdover", 5, "normal"),),
+    )
+    fleet = ServiceSpec(
+        "fleet-tracking",
+        slots=4,
+        upstreams=upstreams,
+        connections=50,
+        routes=(RouteConfig("GET", "/trucks", 50, "normal"),),
+    )
+    lists = PlanLists(
+        customers={
+            "tower": make_customer("tower", "tower"),
+            "carrasco-air": make_customer("carrasco-air", "airline"),
+            "handler-norte": make_customer("handler-norte", "handler"),
+        },
+        plans={
+            "tower": Plan(rate=400, burst=800, importance=10),
+            "airline": Plan(rate=400, burst=800, importance=5),
+            "handler": Plan(rate=400, burst=800, importance=1),
+        },
+    )
+    services = (queue, dispatch, documents, fleet)
+    return SiteSpec(services, lists, settings=settings or {})
+
+
+def make_bridal_agency(
+    upstreams: int = 4, settings: dict[str, dict[str, Any]] | None = None
+) -> SiteSpec:
+    """Return the State Bridal Service Agency: catalogue, booking and patterns."""
+    catalogue = ServiceSpec(
+        "catalogue",
+        slots=32,
+        upstreams=upstreams,
+        connections=225,
+        routes=(RouteConfig("GET", "/dresses", 5, "normal", calls=(FABRIC,)),),
+    )
+    booking = ServiceSpec(
+        "booking",
+        slots=32,
+        upstreams=upstreams,
+        connections=225,
+        routes=(
+            RouteConfig("GET", "/slots", 5, "important", calls=(FABRIC,)),
+            RouteConfig("POST", "/reservations", 8, "critical", False, (FABRIC,)),
+        ),
+    )
+    patterns = ServiceSpec(
+        "patterns",
+        slots=32,
+        upstreams=upstreams,
+        connections=225,
+        routes=(RouteConfig("GET", "/sheets", 5, "important"),),
+    )
+    measurements = ServiceSpec(
+        "measurements",
+        slots=8,
+        upstreams=upstreams,
+        connections=75,
+        routes=(RouteConfig("GET", "/stock", 50, "normal"),),
+    )
+    lists = PlanLists(
+        customers={
+            "registry": make_customer("registry", "registry"),
+            "seamstress": make_customer("seamstress", "trade"),
+            "bride": make_customer("bride", "public"),
+        },
+        plans={
+            "registry": Plan(rate=400, burst=800, importance=10),
+            "trade": Plan(rate=400, burst=800, importance=5),
+            "public": Plan(rate=400, burst=800, importance=1),
+        },
+    )
+    services = (catalogue, booking, patterns, measurements)
+    return SiteSpec(services, lists, settings=settings or {})
--- /dev/null
+++ b/packages/standins/src/cassiahatch_standins/site.py
@@ -0,0 +1,380 @@
+"""A whole site on loopback: the platform, nodes and backend servers as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from tornado.curl_httpclient import CurlError
+from tornado.httpclient import HTTPRequest, HTTPResponse
+
+from cassiahatch_kernel.plans import Customer, PlanLists, hash_key
+from cassiahatch_node.adapters.objects import HttpObjectStore
+from cassiahatch_node.adapters.table import HttpTable
+from cassiahatch_node.control.client import ControlClient
+from cassiahatch_node.control.lists import commit_lists
+from cassiahatch_node.control.status import NodeStatus
+from cassiahatch_node.http_client import fetch_response, make_client
+from cassiahatch_node.observability.metrics import Metrics
+from cassiahatch_standins.backend import BackendConfig, RouteConfig
+
+MAX_CLIENTS = 1000
+HOST = "127.0.0.1"
+PEER_KEY = "a-key-for-loopback-only"
+FIRST_PORT = 20000
+LAST_PORT = 31000
+READY_TIMEOUT_S = 60.0
+ATTEMPT_TIMEOUT_S = 5.0
+POLL_S = 0.1
+KILL_AFTER_S = 90.0
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceSpec:
+    """One service of a site."""
+
+    name: str
+    slots: int
+    routes: tuple[RouteConfig, ...]
+    upstreams: int = 4
+    connections: int = 1000
+    retries: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class SiteSpec:
+    """A site and how its nodes are set."""
+
+    services: tuple[ServiceSpec, ...]
+    lists: PlanLists
+    zones: tuple[str, ...] = ("a", "b", "c", "d")
+    settings: dict[str, dict[str, Any]] = field(default_factory=dict)
+    """Settings beside those that the site fills in, by section."""
+
+
+@dataclass(slots=True)
+class Place:
+    """One node and its backend server."""
+
+    node_id: str
+    zone: str
+    caller_port: int
+    local_port: int
+    peer_port: int
+    backend: BackendConfig
+    node_process: subprocess.Popen[bytes] | None = None
+    backend_process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def peer_address(self) -> str:
+        """Host and peer port of the node."""
+        return f"{HOST}:{self.peer_port}"
+
+    @property
+    def backend_url(self) -> str:
+        """URL of the backend server."""
+        return f"http://{HOST}:{self.backend.port}"
+
+
+def list_free_ports(count: int, seed: int) -> list[int]:
+    """Return ports that nothing listens on now."""
+    found: list[int] = []
+    span = LAST_PORT - FIRST_PORT
+    port = FIRST_PORT + seed * 97 % span
+    while len(found) < count:
+        port = FIRST_PORT + (port + 1 - FIRST_PORT) % span
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
+
+
+def make_customer(name: str, plan: str) -> Customer:
+    """Return a customer whose bearer key is ``key-NAME``."""
+    return Customer(plan, hash_key(f"key-{name}"))
+
+
+class Site:
+    """Starts the processes of a site, and ends them when it is left.
+
+    Parameters
+    ----------
+    spec : SiteSpec
+        What to run.
+    folder : Path
+        Where settings, journals and logs go.
+    """
+
+    def __init__(self, spec: SiteSpec, folder: Path) -> None:
+        self.spec = spec
+        self.folder = folder
+        self.places: list[Place] = []
+        self.platform_port = 0
+        self._platform: subprocess.Popen[bytes] | None = None
+        self.http = make_client(MAX_CLIENTS)
+        self.control = ControlClient(PEER_KEY, Metrics())
+        self._logs: list[Any] = []
+
+    async def __aenter__(self) -> Site:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self._lay_out()
+        try:
+            self.start_platform()
+            await self.wait_for(self._is_platform_up, "the platform")
+            await self.commit(0, self.spec.lists, "first")
+            for place in self.places:
+                self.start_node(place)
+                self.start_backend(place)
+            await self.wait_ready()
+        except BaseException:
+            self.end()
+            raise
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        self.end()
+
+    @property
+    def platform_url(self) -> str:
+        """URL of the platform."""
+        return f"http://{HOST}:{self.platform_port}"
+
+    @property
+    def journal(self) -> Path:
+        """File in which every run of a key is recorded."""
+        return self.folder / "journal"
+
+    def read_runs(self) -> dict[str, int]:
+        """Return how often each key ran."""
+        runs: dict[str, int] = {}
+        if self.journal.exists():
+            for line in self.journal.read_text().splitlines():
+                key = line.split()[2]
+                runs[key] = runs.get(key, 0) + 1
+        return runs
+
+    def find_places(self, service: str) -> list[Place]:
+        """Return the places of a service."""
+        return [p for p in self.places if p.backend.service == service]
+
+    def start_platform(self) -> None:
+        """Start the platform's process."""
+        self._platform = self._spawn(
+            "platform",
+            [
+                sys.executable,
+                "-m",
+                "cassiahatch_standins.platform",
+                str(self.platform_port),
+            ],
+        )
+
+    def start_node(self, place: Place) -> None:
+        """Start the node of a place."""
+        command = Path(sys.executable).with_name("cassiahatch-node")
+        path = self.folder / f"{place.node_id}.toml"
+        place.node_process = self._spawn(
+            place.node_id, [str(command), "run", str(path)]
+        )
+
+    def start_backend(self, place: Place) -> None:
+        """Start the backend server of a place."""
+        path = self.folder / f"{place.node_id}.json"
+        path.write_bytes(msgspec.json.encode(place.backend))
+        place.backend_process = self._spawn(
+            f"{place.node_id}-backend",
+            [sys.executable, "-m", "cassiahatch_standins.backend", str(path)],
+        )
+
+    def end(self) -> None:
+        """End every process that this site started."""
+        processes = [self._platform]
+        for place in self.places:
+            processes += [place.node_process, place.backend_process]
+        for process in processes:
+            if process is not None and process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in processes:
+            if process is not None:
+                process.wait()
+        for log in self._logs:
+            log.close()
+
+    async def commit(self, base: int, lists: PlanLists, change_id: str) -> object:
+        """Commit lists on top of version ``base``."""
+        table = HttpTable(self.platform_url, 2.0)
+        objects = HttpObjectStore(self.platform_url, 2.0)
+        try:
+            return await commit_lists(table, objects, base, lists, change_id)
+        finally:
+            table.close()
+            objects.close()
+
+    async def fault_platform(self, **faults: Any) -> None:
+        """Switch the platform's faults."""
+        await self._put(f"{self.platform_url}/faults", faults)
+
+    async def fault_backend(self, place: Place, **faults: Any) -> None:
+        """Switch the faults of a backend server."""
+        await self._put(f"{place.backend_url}/faults", faults)
+
+    async def read_status(self, place: Place) -> NodeStatus:
+        """Return the status of a node."""
+        return await self.control.get(place.peer_address, "/control/status", NodeStatus)
+
+    async def wait_ready(self) -> None:
+        """Wait until every node knows all members, the lists and all tenures."""
+
+        async def is_ready() -> bool:
+            statuses = [await self.read_status(place) for place in self.places]
+            wanted = self._count_partitions()
+            return (
+                all(s.state == "ready" for s in statuses)
+                and all(s.members == len(self.places) for s in statuses)
+                and all(s.lists_version > 0 for s in statuses)
+                and all(s.partitions >= wanted for s in statuses)
+            )
+
+        await self.wait_for(is_ready, "all nodes")
+
+    async def wait_for(
+        self,
+        condition: Callable[[], Any],
+        what: str,
+        timeout_s: float = READY_TIMEOUT_S,
+    ) -> float:
+        """Wait until a condition holds, and return how long that took.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not come to hold.
+        """
+        started = time.monotonic()
+        while time.monotonic() - started < timeout_s:
+            try:
+                async with asyncio.timeout(ATTEMPT_TIMEOUT_S):
+                    is_met = await condition()
+                if is_met:
+                    return time.monotonic() - started
+            except Exception as error:
+                last = error
+            else:
+                last = None
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError(f"{what}: not within {timeout_s} s ({last})")
+
+    async def request(
+        self,
+        place: Place,
+        method: str,
+        path: str,
+        customer: str,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+        timeout_s: float = 10.0,
+    ) -> HTTPResponse | CurlError:
+        """Send a request to a node as a customer."""
+        request = HTTPRequest(
+            f"http://{HOST}:{place.caller_port}{path}",
+            method=method,
+            headers={"Authorization": f"Bearer key-{customer}", **(headers or {})},
+            body=body,
+            allow_nonstandard_methods=True,
+            request_timeout=timeout_s,
+        )
+        return await fetch_response(self.http, request)
+
+    def _count_partitions(self) -> int:
+        shards = self.spec.settings.get("once", {}).get("shards", 16)
+        keepers = self.spec.settings.get("quota", {}).get("keepers", 4)
+        services = [
+            service
+            for service in self.spec.services
+            if any(not route.idempotent for route in service.routes)
+        ]
+        return keepers + shards * len(services)
+
+    async def _is_platform_up(self) -> bool:
+        response = await self.http.fetch(f"{self.platform_url}/faults")
+        return response.code == 200
+
+    async def _put(self, url: str, body: Any) -> None:
+        request = HTTPRequest(url, method="PUT", body=msgspec.json.encode(body))
+        await self.http.fetch(request)
+
+    def _lay_out(self) -> None:
+        count = sum(service.upstreams for service in self.spec.services)
+        ports = list_free_ports(1 + 4 * count, os.getpid())
+        self.platform_port = ports.pop()
+        for service in self.spec.services:
+            for number in range(service.upstreams):
+                self.places.append(self._make_place(service, number, ports))
+        seeds = [place.peer_address for place in self.places[:4]]
+        for place in self.places:
+            path = self.folder / f"{place.node_id}.toml"
+            path.write_text(self._render_settings(place, seeds))
+
+    def _make_place(self, service: ServiceSpec, number: int, ports: list[int]) -> Place:
+        local_port = ports.pop()
+        backend = BackendConfig(
+            service=service.name,
+            port=ports.pop(),
+            node_port=local_port,
+            slots=service.slots,
+            routes=service.routes,
+            connections=service.connections,
+            retries=service.retries,
+            journal=str(self.journal),
+            seed=number,
+        )
+        return Place(
+            node_id=f"{service.name}-{number}",
+            zone=self.spec.zones[number % len(self.spec.zones)],
+            caller_port=ports.pop(),
+            local_port=local_port,
+            peer_port=ports.pop(),
+            backend=backend,
+        )
+
+    def _render_settings(self, place: Place, seeds: list[str]) -> str:
+        sections: dict[str, dict[str, Any]] = {
+            "node": {
+                "id": place.node_id,
+                "zone": place.zone,
+                "host": HOST,
+                "caller_port": place.caller_port,
+                "local_port": place.local_port,
+                "peer_port": place.peer_port,
+            },
+            "peers": {"key": PEER_KEY, "seeds": seeds},
+            "platform": {"table": self.platform_url, "objects": self.platform_url},
+        }
+        for name, values in self.spec.settings.items():
+            sections.setdefault(name, {}).update(values)
+        lines: list[str] = []
+        for name, values in sections.items():
+            lines.append(f"[{name}]")
+            for key, value in values.items():
+                lines.append(f"{key} = {msgspec.json.encode(value).decode()}")
+        return "\n".join(lines) + "\n"
+
+    def _spawn(self, name: str, command: list[str]) -> subprocess.Popen[bytes]:
+        log = (self.folder / f"{name}.log").open("ab")
+        self._logs.append(log)
+        return subprocess.Popen(command, stdout=log, stderr=log)
