Measure goodput and recovery under overload, with and without control

Change: make bench (10x slower deep service, 3x demand, hard retries); the queue waits up to 1 s but drops what could no longer be answered before its deadline; a backend server may say that it did not run a call because a dependency refused, which frees the key and is not sent elsewhere.

--- a/packages/node/src/cassiahatch_node/backend/client.py
+++ b/packages/node/src/cassiahatch_node/backend/client.py
@@ -25,6 +25,8 @@
 CANCEL_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 0.5
 SHED_REASON = "overloaded"
+LOCAL_REASONS = frozenset({SHED_REASON, "draining", "starting"})
+"""Reasons that another upstream need not share."""
 HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -114,7 +116,9 @@
         if reason is not None and response.code >= 400:
             is_shed = reason == SHED_REASON
             refusal = Refusal(
-                f"backend_{reason}", "the backend server refused it", elsewhere=True
+                f"backend_{reason}",
+                "the backend server refused it",
+                elsewhere=reason in LOCAL_REASONS,
             )
             return refusal, Ending.SHED if is_shed else Ending.ANSWERED
         if not _is_framed(response):
--- a/packages/policies/src/cassiahatch_policies/admission/controller.py
+++ b/packages/policies/src/cassiahatch_policies/admission/controller.py
@@ -9,7 +9,8 @@
 from cassiahatch_policies.admission.limit import AdaptiveLimit
 from cassiahatch_policies.admission.ticket import Completion, Ticket, TicketState
 
-MAX_WAIT_S = 0.25
+MAX_WAIT_S = 1.0
+SERVICE_TIME_WEIGHT = 0.1
 QUEUE_ROUNDS = 4
 """Longest queue, in multiples of the slots."""
 MIN_QUEUE = 16
@@ -20,7 +21,8 @@
     """Gives slots to the highest priorities, and among equals to the newest.
 
     Whenever a call is refused for load, every queued call of lower priority is
-    refused with it, so that none of them is admitted in its stead.
+    refused with it, so that none of them is admitted in its stead. A queued call
+    that could no longer be answered before its deadline is dropped.
 
     Parameters
     ----------
@@ -30,10 +32,11 @@
         Monotonic seconds.
     """
 
-    __slots__ = ("_level", "_limit", "_queue", "in_flight")
+    __slots__ = ("_level", "_limit", "_queue", "_service_s", "in_flight")
 
     def __init__(self, slots: int, now: float) -> None:
         self.in_flight = 0
+        self._service_s = 0.0
         self._limit = AdaptiveLimit(slots)
         self._level = AdmissionLevel(now)
         self._queue: SortedKeyList = SortedKeyList(
@@ -90,6 +93,7 @@
         ticket.state = TicketState.FINISHED
         saturated = self.in_flight >= self.limit
         self.in_flight -= 1
+        self._learn_service_time(completion, now - ticket.started)
         self._limit.observe(completion, saturated, now)
         self._fill(now)
 
@@ -113,11 +117,18 @@
     def _fill(self, now: float) -> None:
         while self._queue and self.in_flight < self.limit:
             ticket = self._queue.pop()
-            if ticket.deadline <= now:
-                ticket.move(TicketState.EXPIRED)
+            if self._is_too_late(ticket, now):
+                self._expire(ticket)
             else:
                 self._admit(ticket, now)
 
+    def _is_too_late(self, ticket: Ticket, now: float) -> bool:
+        return ticket.deadline - now <= self._service_s
+
+    def _learn_service_time(self, completion: Completion, seconds: float) -> None:
+        if completion is Completion.SUCCEEDED:
+            self._service_s += SERVICE_TIME_WEIGHT * (seconds - self._service_s)
+
     def _admit(self, ticket: Ticket, now: float) -> None:
         self.in_flight += 1
         ticket.started = now
@@ -139,6 +150,10 @@
         ticket.move(TicketState.REFUSED)
 
     def _drop_expired(self, now: float) -> None:
-        for ticket in [t for t in self._queue if t.deadline <= now]:
+        for ticket in [t for t in self._queue if self._is_too_late(t, now)]:
             self._queue.remove(ticket)
-            ticket.move(TicketState.EXPIRED)
+            self._expire(ticket)
+
+    def _expire(self, ticket: Ticket) -> None:
+        self._level.count_refused()
+        ticket.move(TicketState.EXPIRED)
--- a/packages/standins/src/cassiahatch_standins/backend.py
+++ b/packages/standins/src/cassiahatch_standins/backend.py
@@ -51,8 +51,6 @@
     importance: str = "normal"
     idempotent: bool = True
     calls: tuple[DeeperCall, ...] = ()
-    slot_for_calls: bool = True
-    """The slot is held while deeper calls run."""
 
 
 class BackendConfig(msgspec.Struct, frozen=True):
@@ -167,16 +165,18 @@
     async def _run(self) -> None:
         backend = self.backend
         async with backend.slots:
+            parts = await self._call_deeper()
+            failed = [part for part in parts if part.code != 200]
+            if failed and not self.route.idempotent:
+                self.set_status(503)
+                self.set_header(NOT_RUN_HEADER, "dependency")
+                return
             if not self.route.idempotent:
                 backend.note_run(self.request.headers.get("Idempotency-Key", ""))
             await asyncio.sleep(backend.compute_time_s(self.route))
             while backend.faults.freeze:
                 await asyncio.sleep(0.05)
-            parts = await self._call_deeper() if self.route.slot_for_calls else None
-        if parts is None:
-            parts = await self._call_deeper()
         backend.served += 1
-        failed = [part for part in parts if part.code != 200]
         if failed:
             self.set_status(502)
         nonce = self.get_query_argument("nonce", "")
--- /dev/null
+++ b/packages/standins/src/cassiahatch_standins/bench.py
@@ -0,0 +1,335 @@
+"""Goodput and recovery under overload, with and without control, side by side.
+
+Run it with ``python -m cassiahatch_standins.bench [--seeds N] [--out FOLDER]``. A
+deep service becomes ten times slower, demand triples, callers retry hard; then both
+end. The load is bounded and stops by itself.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import statistics
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from cassiahatch_standins.deployments import make_bridal_agency, make_hielo_sur
+from cassiahatch_standins.load import Callers, Request, Stream
+from cassiahatch_standins.site import Site, SiteSpec
+
+BEFORE_S = 6.0
+TRIGGER_S = 8.0
+AFTER_S = 8.0
+SLOW_FACTOR = 10.0
+SURGE = 3.0
+WINDOW_S = 0.5
+RECOVERED_SHARE = 0.95
+UPSTREAMS = 2
+DEEP_TIME_MS = 100.0
+
+NO_CONTROL = {
+    "plugins": {"admission": "open", "picker": "random", "retries": "unbounded"}
+}
+VARIANTS: dict[str, dict[str, Any]] = {"no control": NO_CONTROL, "now": {}}
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """One deployment, its deep service and the load on it."""
+
+    name: str
+    make: Callable[..., SiteSpec]
+    deep_service: str
+    streams: tuple[Stream, ...]
+
+
+FLEET = "fleet-tracking"
+HIELO_SUR = Deployment(
+    "Hielo Sur",
+    make_hielo_sur,
+    FLEET,
+    (
+        Stream(
+            "order",
+            "tower",
+            "POST",
+            "/spray-dispatch/orders",
+            2,
+            ("spray-dispatch", FLEET),
+            is_important=True,
+        ),
+        Stream(
+            "overview",
+            "tower",
+            "GET",
+            "/queue-status/overview",
+            4,
+            ("queue-status", "spray-dispatch", FLEET, "documents"),
+        ),
+        Stream(
+            "queue read, airline",
+            "carrasco-air",
+            "GET",
+            "/queue-status/queues",
+            21,
+            ("queue-status", FLEET),
+        ),
+        Stream(
+            "queue read, handler",
+            "handler-norte",
+            "GET",
+            "/queue-status/queues",
+            21,
+            ("queue-status", FLEET),
+        ),
+    ),
+)
+AGENCY = Deployment(
+    "State Bridal Service Agency",
+    make_bridal_agency,
+    "measurements",
+    (
+        Stream(
+            "reservation",
+            "registry",
+            "POST",
+            "/booking/reservations",
+            4,
+            ("booking", "measurements"),
+            is_important=True,
+        ),
+        Stream(
+            "fitting slots",
+            "seamstress",
+            "GET",
+            "/booking/slots",
+            12,
+            ("booking", "measurements"),
+        ),
+        Stream(
+            "catalogue read",
+            "bride",
+            "GET",
+            "/catalogue/dresses",
+            80,
+            ("catalogue", "measurements"),
+        ),
+    ),
+)
+
+
+class Measured(msgspec.Struct):
+    """What one run showed."""
+
+    deployment: str
+    variant: str
+    seed: int
+    important_share: float
+    """Important requests answered whole during the trigger, of those sent."""
+    deep_share: float
+    """Whole answers during the trigger, as a share of the deep capacity."""
+    before_share: float
+    recovery_s: float
+    attempts_per_request: float
+    wrong: int
+    repeated_runs: int
+    windows: list[float]
+    """Share of requests answered whole, by window of arrival."""
+
+
+async def run_once(
+    deployment: Deployment, variant: str, seed: int, folder: Path
+) -> Measured:
+    """Run the scenario once and measure it."""
+    spec = slow_down(deployment, VARIANTS[variant])
+    async with Site(spec, folder) as site:
+        deep = site.find_places(deployment.deep_service)
+        callers = Callers(site, site.places, seed)
+        streams = list(deployment.streams)
+        surging = [replace(s, rate=s.rate * SURGE) for s in streams]
+        await callers.run(streams, 1.0)
+        await callers.finish()
+        callers.requests.clear()
+        started = time.monotonic()
+        await callers.run(streams, BEFORE_S)
+        for place in deep:
+            await site.fault_backend(place, slow_factor=SLOW_FACTOR)
+        await callers.run(surging, TRIGGER_S)
+        for place in deep:
+            await site.fault_backend(place, slow_factor=1.0)
+        await callers.run(streams, AFTER_S)
+        await callers.finish()
+        runs = site.read_runs()
+    return measure(deployment, variant, seed, callers.requests, started, runs)
+
+
+def slow_down(deployment: Deployment, settings: dict[str, Any]) -> SiteSpec:
+    """Return the site with a deep service that few processes can fill."""
+    spec = deployment.make(upstreams=UPSTREAMS, settings=settings)
+    services = tuple(
+        replace(
+            service,
+            routes=tuple(
+                msgspec.structs.replace(route, time_ms=DEEP_TIME_MS)
+                for route in service.routes
+            ),
+        )
+        if service.name == deployment.deep_service
+        else service
+        for service in spec.services
+    )
+    return replace(spec, services=services)
+
+
+def measure(
+    deployment: Deployment,
+    variant: str,
+    seed: int,
+    requests: list[Request],
+    started: float,
+    runs: dict[str, int],
+) -> Measured:
+    """Return what the requests of a run show."""
+    trigger = (started + BEFORE_S, started + BEFORE_S + TRIGGER_S)
+    windows = compute_windows(requests, started)
+    before = statistics.mean(windows[: int(BEFORE_S / WINDOW_S)])
+    sent = [r for r in requests if trigger[0] <= r.started < trigger[1]]
+    important = [r for r in sent if r.stream.is_important]
+    whole = [r for r in requests if r.is_whole and trigger[0] <= r.ended < trigger[1]]
+    return Measured(
+        deployment=deployment.name,
+        variant=variant,
+        seed=seed,
+        important_share=share_whole(important),
+        deep_share=len(whole) / TRIGGER_S / compute_deep_capacity(deployment),
+        before_share=before,
+        recovery_s=find_recovery(windows, before),
+        attempts_per_request=statistics.mean(r.attempts for r in sent),
+        wrong=sum(r.is_wrong for r in requests),
+        repeated_runs=sum(count > 1 for count in runs.values()),
+        windows=windows,
+    )
+
+
+def compute_deep_capacity(deployment: Deployment) -> float:
+    """Return the calls a second that the slowed deep service can serve."""
+    spec = slow_down(deployment, {})
+    deep = next(s for s in spec.services if s.name == deployment.deep_service)
+    return deep.slots * UPSTREAMS / (DEEP_TIME_MS / 1000 * SLOW_FACTOR)
+
+
+def share_whole(requests: list[Request]) -> float:
+    """Return the share of requests that were answered whole."""
+    return sum(r.is_whole for r in requests) / max(1, len(requests))
+
+
+def compute_windows(requests: list[Request], started: float) -> list[float]:
+    """Return the share answered whole, by window of arrival."""
+    count = int((BEFORE_S + TRIGGER_S + AFTER_S) / WINDOW_S)
+    windows: list[list[Request]] = [[] for _ in range(count)]
+    for request in requests:
+        number = int((request.started - started) / WINDOW_S)
+        if 0 <= number < count:
+            windows[number].append(request)
+    return [share_whole(window) for window in windows]
+
+
+def find_recovery(windows: list[float], before: float) -> float:
+    """Return the seconds from the trigger's end until goodput stays restored."""
+    after = windows[int((BEFORE_S + TRIGGER_S) / WINDOW_S) :]
+    bad = [n for n, share in enumerate(after) if share < RECOVERED_SHARE * before]
+    return (bad[-1] + 1) * WINDOW_S if bad else 0.0
+
+
+def print_table(results: list[Measured]) -> None:
+    """Print the mean and the spread over the seeds."""
+    table = Table(title="overload: deep service 10x slower, demand x3, hard retries")
+    for column in (
+        "deployment",
+        "variant",
+        "important whole",
+        "deep capacity used whole",
+        "whole before",
+        "recovery s",
+        "attempts",
+        "wrong",
+        "run twice",
+    ):
+        table.add_column(column)
+    for key in dict.fromkeys((r.deployment, r.variant) for r in results):
+        group = [r for r in results if (r.deployment, r.variant) == key]
+        table.add_row(
+            *key,
+            format_spread([r.important_share for r in group]),
+            format_spread([r.deep_share for r in group]),
+            format_spread([r.before_share for r in group]),
+            format_spread([r.recovery_s for r in group]),
+            format_spread([r.attempts_per_request for r in group]),
+            str(sum(r.wrong for r in group)),
+            str(sum(r.repeated_runs for r in group)),
+        )
+    Console(width=150).print(table)
+
+
+def format_spread(values: list[float]) -> str:
+    """Return the mean with the lowest and the highest value."""
+    return f"{statistics.mean(values):.3f} [{min(values):.3f}, {max(values):.3f}]"
+
+
+def plot(results: list[Measured], path: Path) -> None:
+    """Draw the share answered whole over time."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    names = list(dict.fromkeys(r.deployment for r in results))
+    figure, axes = pyplot.subplots(len(names), 1, squeeze=False, figsize=(8, 6))
+    for axis, name in zip(axes[:, 0], names, strict=True):
+        for result in results:
+            if result.deployment == name:
+                times = [n * WINDOW_S for n in range(len(result.windows))]
+                label = f"{result.variant}, seed {result.seed}"
+                axis.plot(times, result.windows, label=label)
+        axis.axvspan(BEFORE_S, BEFORE_S + TRIGGER_S, alpha=0.1, color="red")
+        axis.set_title(name)
+        axis.set_ylabel("share whole")
+        axis.legend(fontsize="small")
+    axes[-1, 0].set_xlabel("seconds")
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+async def main(seeds: int, out: Path, only: str) -> None:
+    """Run all variants and seeds, interleaved."""
+    results: list[Measured] = []
+    for deployment in (HIELO_SUR, AGENCY):
+        for seed in range(1, seeds + 1):
+            for variant in VARIANTS:
+                if only not in f"{deployment.name}/{variant}":
+                    continue
+                with tempfile.TemporaryDirectory() as folder:
+                    result = await run_once(deployment, variant, seed, Path(folder))
+                results.append(result)
+                print(f"{deployment.name}, {variant}, seed {seed}", file=sys.stderr)
+    print_table(results)
+    out.mkdir(parents=True, exist_ok=True)
+    (out / "bench.json").write_bytes(msgspec.json.encode(results))
+    plot(results, out / "bench.png")
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=2)
+    parser.add_argument("--out", type=Path, default=Path("out"))
+    parser.add_argument("--only", default="", help="part of DEPLOYMENT/VARIANT")
+    arguments = parser.parse_args()
+    asyncio.run(main(arguments.seeds, arguments.out, arguments.only))
