Bound the wait in the queue by the service time

A trace of every window showed the catalogue's slots held by calls that waited up to 1 s at the deep service, so the shallow service ran out of slots although the deep one was healthy again.

Change: the longest wait is twice the learnt service time, between 0.1 and 1 s.

--- a/packages/policies/src/cassiahatch_policies/admission/controller.py
+++ b/packages/policies/src/cassiahatch_policies/admission/controller.py
@@ -9,7 +9,10 @@
 from cassiahatch_policies.admission.limit import AdaptiveLimit
 from cassiahatch_policies.admission.ticket import Completion, Ticket, TicketState
 
+MIN_WAIT_S = 0.1
 MAX_WAIT_S = 1.0
+WAIT_ROUNDS = 2.0
+"""Longest wait, in multiples of the service time."""
 SERVICE_TIME_WEIGHT = 0.1
 QUEUE_ROUNDS = 4
 """Longest queue, in multiples of the slots."""
@@ -106,7 +109,8 @@
     def tick(self, now: float) -> None:
         """Drop what waited too long and move the level."""
         self._drop_expired(now)
-        overdue = [t for t in self._queue if now - t.arrived >= MAX_WAIT_S]
+        longest = min(MAX_WAIT_S, max(MIN_WAIT_S, WAIT_ROUNDS * self._service_s))
+        overdue = [t for t in self._queue if now - t.arrived >= longest]
         if overdue:
             highest = overdue[-1]
             self._queue.remove(highest)
