Fuzz at-most-once, retries, plan limits and admission against oracles

Cause: the decisions were only seen working in one path.

Change: stateful machines and tables for each, over fakes of the table and the control exchange; the tenure keeper works in steps that a test can drive. For every mechanism a broken form of it is run through the same check.

--- a/packages/node/src/cassiahatch_node/control/tenures.py
+++ b/packages/node/src/cassiahatch_node/control/tenures.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 import msgspec
 
@@ -53,7 +53,15 @@
 QUOTA_PREFIX = "quota/"
 MS_PER_S = 1000
 
-Partitions = Callable[[], Iterable[str]]
+
+@dataclass(slots=True, eq=False)
+class _Staged:
+    request: HandoverRequest
+    until: float
+
+    @property
+    def partition(self) -> str:
+        return self.request.tenure.partition
 
 
 class TenureKeeper:
@@ -89,8 +97,10 @@
         "_policy",
         "_settings",
         "_source",
+        "_staged",
         "_table",
         "_transfers",
+        "_wake",
     )
 
     def __init__(
@@ -113,7 +123,9 @@
         self._clock = clock
         self._source = source
         self._next_checks: dict[str, float] = {}
+        self._staged: list[_Staged] = []
         self._transfers = 0
+        self._wake = asyncio.Event()
         once = settings.once
         self._policy = TenurePolicy(
             int(once.tenure_s * MS_PER_S),
@@ -125,18 +137,23 @@
         """Claim, renew and balance for as long as the node lives."""
         await asyncio.sleep(SETTLE_S)
         while True:
-            try:
-                await self._resolve_closed()
-                await self._renew()
-                await self._claim()
-                await self._balance()
-            except StoreUnavailableError as error:
-                log_event("tenures_wait", error=error.detail)
-            except BadStoreDataError as error:
-                log_warning("bad_tenure_row", error=error.detail)
-            self._publish()
-            self._guard.forget_expired()
-            await asyncio.sleep(INTERVAL_S * (0.5 + self._source.random()))
+            await self.step()
+            await self._pause()
+
+    async def step(self) -> None:
+        """Do one round of everything that is due."""
+        try:
+            await self._settle_staged()
+            await self._resolve_closed()
+            await self._renew()
+            await self._claim()
+            await self._balance()
+        except StoreUnavailableError as error:
+            log_event("tenures_wait", error=error.detail)
+        except BadStoreDataError as error:
+            log_warning("bad_tenure_row", error=error.detail)
+        self._publish()
+        self._guard.forget_expired()
 
     def list_partitions(self) -> list[str]:
         """Return the partitions that this node may hold."""
@@ -168,9 +185,35 @@
         self._publish()
 
     def stage(self, request: HandoverRequest) -> None:
-        """Take in the records of a tenure that is about to be this node's."""
+        """Keep the records of a tenure until the table shows that it is this node's."""
         self._guard.expect(request.tenure.partition)
-        asyncio.create_task(self._await_staged(request))
+        until = self._clock.monotonic() + STAGE_TERM_S
+        self._staged.append(_Staged(request, until))
+        self._wake.set()
+
+    async def _pause(self) -> None:
+        seconds = INTERVAL_S * (0.5 + self._source.random())
+        if self._staged:
+            seconds = STAGE_POLL_S
+        try:
+            async with asyncio.timeout(seconds):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+        self._wake.clear()
+
+    async def _settle_staged(self) -> None:
+        for staged in list(self._staged):
+            if await self._take_staged(staged.request):
+                self._end_staged(staged)
+            elif self._clock.monotonic() >= staged.until:
+                log_warning("handover_not_seen", partition=staged.partition)
+                self._end_staged(staged)
+
+    def _end_staged(self, staged: _Staged) -> None:
+        self._staged.remove(staged)
+        if not any(s.partition == staged.partition for s in self._staged):
+            self._guard.stop_expecting(staged.partition)
 
     async def _renew(self) -> None:
         for holding in self._book.list_open():
@@ -288,23 +331,8 @@
         self._next_checks[partition] = self._clock.monotonic() + RECHECK_S
         self._publish()
 
-    async def _await_staged(self, request: HandoverRequest) -> None:
-        tenure = request.tenure
-        deadline = self._clock.monotonic() + STAGE_TERM_S
-        try:
-            while self._clock.monotonic() < deadline:
-                if await self._take_staged(request):
-                    return
-                await asyncio.sleep(STAGE_POLL_S)
-        finally:
-            self._guard.stop_expecting(tenure.partition)
-        log_warning("handover_not_seen", partition=tenure.partition)
-
     async def _take_staged(self, request: HandoverRequest) -> bool:
-        try:
-            row = await self._table.read(ROW_PREFIX + request.tenure.partition)
-        except StoreUnavailableError:
-            return False
+        row = await self._table.read(ROW_PREFIX + request.tenure.partition)
         if row is None or _decode(row) != request.tenure:
             return False
         self._guard.ledger.adopt(list(request.records))
--- a/packages/node/src/cassiahatch_node/once.py
+++ b/packages/node/src/cassiahatch_node/once.py
@@ -16,8 +16,9 @@
 
 MS_PER_S = 1000
 
-HANDOVER_WAIT_S = 1.0
 HANDOVER_POLL_S = 0.02
+HANDOVER_POLLS = 50
+"""How often a call looks whether a hand-over has ended before it is refused."""
 
 RunCall = Callable[[Call, CallContext], Awaitable[Outcome]]
 SendOn = Callable[[str, Call, CallContext], Awaitable[Outcome]]
@@ -125,9 +126,9 @@
         self.ledger.forget_expired(int(self._clock.wall() * MS_PER_S))
 
     async def _wait_for_handover(self, partition: str, context: CallContext) -> None:
-        now = self._clock.monotonic()
-        until = min(context.deadline, now + HANDOVER_WAIT_S)
-        while self._clock.monotonic() < until:
+        for _poll in range(HANDOVER_POLLS):
+            if self._clock.monotonic() >= context.deadline:
+                return
             held = self._book.find(partition)
             is_moving = held is not None and held.closed
             if not is_moving and partition not in self._expected:
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,108 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cassiahatch_kernel.plans import Plan
+from cassiahatch_policies import quota
+from cassiahatch_policies.quota import GRANT_TERM_S, Grant, KeeperBucket, Wallet
+from fuzzing import run_machine
+
+KEEPERS = 2
+PLAN = Plan(rate=10, burst=12)
+ROUNDING = 1e-6
+
+
+class QuotaMachine(RuleBasedStateMachine):
+    """Nodes fetch units from keepers that are replaced; answers are late or lost."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 100.0
+        self.keepers = [KeeperBucket(PLAN, self.now) for _ in range(KEEPERS)]
+        self.wallets = [Wallet(KEEPERS, self.now) for _ in range(3)]
+        self.under_way: list[tuple[int, Grant]] = []
+        self.spent: list[float] = []
+
+    @rule(seconds=strategies.sampled_from([0.01, 0.1, 0.3, 1.0, 5.0]))
+    def pass_time(self, seconds):
+        self.now += seconds
+
+    @rule(
+        wallet=strategies.integers(0, 2),
+        keeper=strategies.integers(0, KEEPERS - 1),
+        wanted=strategies.sampled_from([1, 4, 1000]),
+    )
+    def ask(self, wallet, keeper, wanted):
+        units = self.keepers[keeper].grant(wanted, self.now)
+        self.under_way.append((wallet, Grant(units, self.now + quota.GRANT_TERM_S)))
+
+    @rule()
+    def deliver(self):
+        for wallet, grant in self.under_way:
+            self.wallets[wallet].add(grant)
+        self.under_way.clear()
+
+    @rule()
+    def lose_answers(self):
+        self.under_way.clear()
+
+    @rule(keeper=strategies.integers(0, KEEPERS - 1))
+    def replace_keeper(self, keeper):
+        self.keepers[keeper] = KeeperBucket(PLAN, self.now)
+
+    @rule(wallet=strategies.integers(0, 2), count=strategies.integers(1, 30))
+    def spend(self, wallet, count):
+        for _request in range(count):
+            if self.wallets[wallet].take(self.now):
+                self.spent.append(self.now)
+
+    @invariant()
+    def no_window_passes_the_plan(self):
+        for first, start in enumerate(self.spent):
+            used = len(self.spent) - first
+            allowed = PLAN.rate * (self.now - start) + PLAN.burst
+            assert used <= allowed + ROUNDING
+
+
+def test_no_customer_passes_its_plan_in_any_window():
+    run_machine(QuotaMachine, examples=300, steps=50)
+
+
+def apply_without_term(self, plan):
+    """Let a bucket hold the whole burst although grants are spent later."""
+    self._rate = plan.rate
+    self._burst = plan.burst
+
+
+@pytest.mark.parametrize(
+    ("apply", "is_kept"),
+    [(KeeperBucket._apply, True), (apply_without_term, False)],
+    ids=["now", "term not counted"],
+)
+def test_units_saved_up_to_the_last_moment_do_not_pass_the_burst(
+    monkeypatch, apply, is_kept
+):
+    monkeypatch.setattr(KeeperBucket, "_apply", apply)
+    keepers = [KeeperBucket(PLAN, 0.0) for _ in range(KEEPERS)]
+    wallet = Wallet(KEEPERS, 60.0)
+    for asked in (60.0, 60.0 + GRANT_TERM_S * 0.99):
+        for keeper in keepers:
+            wallet.add(Grant(keeper.grant(1000, asked), asked + GRANT_TERM_S))
+    paid = sum(wallet.take(60.0 + GRANT_TERM_S * 0.99) for _ in range(100))
+    assert (paid <= PLAN.burst) is is_kept
+
+
+@pytest.mark.parametrize(
+    ("seconds", "wanted", "given"),
+    [(0.0, 5, 0), (0.3, 5, 3), (0.55, 5, 5), (60.0, 1000, 7), (60.0, -3, 0)],
+)
+def test_a_bucket_is_empty_at_first_and_fills_at_the_rate(seconds, wanted, given):
+    assert KeeperBucket(PLAN, 0.0).grant(wanted, seconds) == given
+
+
+def test_a_changed_plan_holds_from_then_on():
+    bucket = KeeperBucket(PLAN, 0.0)
+    bucket.change(Plan(rate=1, burst=2), 10.0)
+    assert bucket.grant(100, 10.0) == 1
