Compare hashes first in gossip, and rest while nothing runs

Cause: an idle node used 1.8 % of a core and sent 3,462 B/s (8 nodes) and 7,437 B/s (24 nodes) of control bodies in the half minute after a start, because every exchange carried all news of the last 15 s, known or not; admission was moved on 20 times a second also when nothing ran.

Change: an exchange carries hashes only; where they differ, news, and where that does not help, the differing buckets. Admission rests while it is idle.

--- a/packages/node/src/cassiahatch_node/control/gossip.py
+++ b/packages/node/src/cassiahatch_node/control/gossip.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from cassiahatch_kernel.clock import Clock
+from cassiahatch_kernel.members import Member
 from cassiahatch_kernel.plan_changes import ListChange
 from cassiahatch_kernel.plans import AcceptedLists, PlanListError, check_lists
 from cassiahatch_node.control.client import ControlClient, ControlError
@@ -79,7 +80,7 @@
         while True:
             is_news = await self._pause()
             peers = self._choose_peers(NEWS_FANOUT if is_news else 1)
-            await asyncio.gather(*(self._exchange(address) for address in peers))
+            await asyncio.gather(*(self._exchange(peer, is_news) for peer in peers))
 
     def spread(self) -> None:
         """Exchange soon, because there is news."""
@@ -98,9 +99,10 @@
         self._take(request.news, request.crashes)
         fleet = self._fleet
         differs = request.members_hash != fleet.roster.compute_hash()
-        news = list(fleet.roster.list_news(self._clock.monotonic()))
-        if request.bucket_hashes:
-            news = fleet.roster.list_differing(list(request.bucket_hashes))
+        news = self._choose_news(request)
+        hashes: list[str] = []
+        if differs and request.is_different:
+            hashes = fleet.roster.list_bucket_hashes()
         changes: tuple[ListChange, ...] = ()
         lists = None
         if request.lists_version < fleet.plans.version:
@@ -111,11 +113,19 @@
             members_hash=fleet.roster.compute_hash(),
             news=tuple(news) if differs else (),
             crashes=self._list_crashes(),
-            bucket_hashes=tuple(fleet.roster.list_bucket_hashes()) if differs else (),
+            bucket_hashes=tuple(hashes),
             changes=changes,
             lists=lists,
         )
 
+    def _choose_news(self, request: GossipRequest) -> list[Member]:
+        roster = self._fleet.roster
+        if request.bucket_hashes:
+            return roster.list_differing(list(request.bucket_hashes))
+        if request.is_different:
+            return roster.list_news(self._clock.monotonic())
+        return []
+
     def list_state(self) -> FleetState:
         """Return all that a starting node needs."""
         members = tuple(self._fleet.roster.list_members())
@@ -149,15 +159,20 @@
             self._fleet.learn(list(state.members))
             self._fleet.adopt_lists(state.lists)
 
-    async def _exchange(self, address: str) -> None:
-        request = self._make_request(())
+    async def _exchange(self, address: str, is_news: bool) -> None:
+        """Compare hashes; where they differ, swap news, then whole buckets."""
         try:
-            reply = await self._ask(address, request)
-            if reply.members_hash != self._fleet.roster.compute_hash():
+            reply = await self._ask(address, self._make_request(is_news))
+            if self._differs(reply) and not is_news:
+                reply = await self._ask(address, self._make_request(True))
+            if self._differs(reply) and reply.bucket_hashes:
                 await self._ask(address, self._make_repair(reply))
         except ControlError as error:
             log_event("gossip_failed", peer=address, error=error.detail)
 
+    def _differs(self, reply: GossipReply) -> bool:
+        return reply.members_hash != self._fleet.roster.compute_hash()
+
     async def _ask(self, address: str, request: GossipRequest) -> GossipReply:
         reply = await self._client.post(address, GOSSIP_PATH, request, GossipReply)
         self._take(reply.news, reply.crashes)
@@ -176,15 +191,16 @@
         if self._fleet.adopt_lists(accepted):
             self.spread()
 
-    def _make_request(self, bucket_hashes: tuple[str, ...]) -> GossipRequest:
+    def _make_request(self, with_news: bool) -> GossipRequest:
         fleet = self._fleet
+        news = fleet.roster.list_news(self._clock.monotonic()) if with_news else []
         return GossipRequest(
             lists_version=fleet.plans.version,
             lists_change_id=fleet.plans.accepted.change_id,
             members_hash=fleet.roster.compute_hash(),
-            news=tuple(fleet.roster.list_news(self._clock.monotonic())),
+            news=tuple(news),
             crashes=self._list_crashes(),
-            bucket_hashes=bucket_hashes,
+            is_different=with_news,
         )
 
     def _make_repair(self, reply: GossipReply) -> GossipRequest:
@@ -195,6 +211,7 @@
             lists_change_id=fleet.plans.accepted.change_id,
             members_hash=fleet.roster.compute_hash(),
             news=tuple(lacking),
+            is_different=True,
             bucket_hashes=tuple(fleet.roster.list_bucket_hashes()),
         )
 
--- a/packages/node/src/cassiahatch_node/control/messages.py
+++ b/packages/node/src/cassiahatch_node/control/messages.py
@@ -20,8 +20,10 @@
     members_hash: str
     news: tuple[Member, ...] = ()
     crashes: tuple[Crash, ...] = ()
+    is_different: bool = False
+    """An exchange before this one showed that the two nodes know different members."""
     bucket_hashes: tuple[str, ...] = ()
-    """Sent when an exchange before this one showed a difference."""
+    """Sent when the news of both did not make up the difference."""
 
 
 class GossipReply(msgspec.Struct, frozen=True):
--- a/packages/node/src/cassiahatch_node/ingress.py
+++ b/packages/node/src/cassiahatch_node/ingress.py
@@ -70,6 +70,7 @@
     """
 
     __slots__ = (
+        "_busy",
         "_client",
         "_clock",
         "_crashes",
@@ -99,6 +100,7 @@
         self._tracing = tracing
         self._quarantine = quarantine
         self._crashes = 0
+        self._busy = asyncio.Event()
         self.backend: BackendServer | None = None
         self.running = RunningCalls()
         self.on_crash = _ignore_crash
@@ -144,9 +146,18 @@
     async def tick(self) -> None:
         """Move admission on for as long as the node lives."""
         while True:
+            await self._busy.wait()
             await asyncio.sleep(TICK_INTERVAL_S)
-            if self.backend is not None:
-                self.backend.admission.tick(self._clock.monotonic())
+            self._tick()
+
+    def _tick(self) -> None:
+        if self.backend is None:
+            self._busy.clear()
+            return
+        admission = self.backend.admission
+        admission.tick(self._clock.monotonic())
+        if not (admission.in_flight or admission.queued or admission.level):
+            self._busy.clear()
 
     async def serve(self, call: Call, context: CallContext) -> Outcome:
         """Run a call at the backend server, or refuse it."""
@@ -154,6 +165,7 @@
         if refusal is not None:
             return self._count_refusal(refusal, context)
         backend = self.backend
+        self._busy.set()
         fingerprint = compute_fingerprint(call)
         now = self._clock.monotonic()
         if self._quarantine.is_quarantined(fingerprint, now):
