--- a/packages/node/src/cassiahatch_node/control/quota.py
+++ b/packages/node/src/cassiahatch_node/control/quota.py
@@ -24,7 +24,7 @@
 GRANTS_PATH = "/control/grants"
 FETCH_INTERVAL_S = 0.2
 FETCH_TIMEOUT_S = 0.4
-FIRST_WAIT_S = 0.3
+FIRST_WAIT_S = 0.5
 """How long a request waits for units when its node holds none."""
 EMPTY_TERM_S = 0.2
 """How long an empty reply is taken to hold."""
@@ -118,6 +118,8 @@
     wallet: Any
     filled: asyncio.Event = field(default_factory=asyncio.Event)
     empty_at: float = float("-inf")
+    empty_replies: int = 0
+    """Replies without units since the last with some."""
     waiting: int = 0
 
 
@@ -144,6 +146,7 @@
 
     __slots__ = (
         "_accounts",
+        "_asked",
         "_client",
         "_clock",
         "_fleet",
@@ -175,21 +178,24 @@
         self._metrics = metrics
         self._source = source
         self._accounts: dict[str, _Account] = {}
+        self._asked: set[str] = set()
         self._wake = asyncio.Event()
 
     async def run(self) -> None:
         """Fetch units ahead of demand for as long as the node lives."""
-        while True:
-            try:
-                async with asyncio.timeout(
-                    FETCH_INTERVAL_S if self._accounts else None
-                ):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass
-            self._wake.clear()
-            await self._fetch()
-            self._drop_idle()
+        async with asyncio.TaskGroup() as exchanges:
+            while True:
+                await self._pause()
+                self._fetch(exchanges)
+                self._drop_idle()
+
+    async def _pause(self) -> None:
+        try:
+            async with asyncio.timeout(FETCH_INTERVAL_S if self._accounts else None):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+        self._wake.clear()
 
     async def pay(self, customer: str) -> bool:
         """Pay for one request of a customer, and tell whether its plan allowed it."""
@@ -230,7 +236,7 @@
             if now - account.empty_at < EMPTY_TERM_S:
                 return False
 
-    async def _fetch(self) -> None:
+    def _fetch(self, exchanges: asyncio.TaskGroup) -> None:
         now = self._clock.monotonic()
         groups: dict[int, dict[str, int]] = {}
         for customer, account in self._accounts.items():
@@ -238,45 +244,55 @@
             if ask:
                 group = find_group(customer, self._settings.groups)
                 groups.setdefault(group, {})[customer] = ask
-        exchanges = [self._fetch_group(group, asks) for group, asks in groups.items()]
-        await asyncio.gather(*exchanges)
+        for group, asks in groups.items():
+            self._fetch_group(exchanges, group, asks)
 
-    async def _fetch_group(self, group: int, asks: dict[str, int]) -> None:
+    def _fetch_group(
+        self, exchanges: asyncio.TaskGroup, group: int, asks: dict[str, int]
+    ) -> None:
+        """Ask the keepers of a group, except those that still owe an answer."""
         keepers = range(self._settings.keepers)
-        share = {
-            customer: math.ceil(ask / self._settings.keepers)
-            for customer, ask in asks.items()
-        }
-        asked_at = self._clock.monotonic()
         partitions = [f"{QUOTA_PREFIX}{group}/{keeper}" for keeper in keepers]
-        units = await asyncio.gather(
-            *(self._ask_and_fill(GrantRequest(p, share), asked_at) for p in partitions)
-        )
-        if not any(units):
-            self._note_empty(asks)
-
-    async def _ask_and_fill(self, request: GrantRequest, asked_at: float) -> int:
-        """Take in what one keeper gives, without waiting for the others."""
-        reply = await self._ask(request)
-        for customer, units in reply.given.items():
-            account = self._accounts.get(customer)
-            if account is not None:
-                account.wallet.add(Grant(units, asked_at + GRANT_TERM_S))
-                account.filled.set()
-        return sum(reply.given.values())
-
-    def _note_empty(self, asks: dict[str, int]) -> None:
-        for customer in asks:
-            account = self._accounts.get(customer)
-            if account is not None:
-                account.empty_at = self._clock.monotonic()
-                account.filled.set()
-
-    async def _ask(self, request: GrantRequest) -> GrantReply:
+        partitions = [p for p in partitions if p not in self._asked]
+        for partition in partitions:
+            share = {
+                customer: math.ceil(ask / len(partitions))
+                for customer, ask in asks.items()
+            }
+            self._asked.add(partition)
+            exchanges.create_task(self._ask_and_fill(GrantRequest(partition, share)))
+
+    async def _ask_and_fill(self, request: GrantRequest) -> None:
+        asked_at = self._clock.monotonic()
+        try:
+            reply = await self._ask(request)
+        finally:
+            self._asked.discard(request.partition)
+        if reply is None:
+            return
+        for customer in request.wanted:
+            self._fill(customer, reply.given.get(customer, 0), asked_at)
+
+    def _fill(self, customer: str, units: int, asked_at: float) -> None:
+        account = self._accounts.get(customer)
+        if account is None:
+            return
+        if units:
+            account.empty_replies = 0
+            account.wallet.add(Grant(units, asked_at + GRANT_TERM_S))
+        else:
+            account.empty_replies += 1
+        if account.empty_replies >= self._settings.keepers:
+            account.empty_replies = 0
+            account.empty_at = self._clock.monotonic()
+        account.filled.set()
+
+    async def _ask(self, request: GrantRequest) -> GrantReply | None:
+        """Return a keeper's reply, or None if there was none."""
         holder = self._fleet.roster.find_holder(request.partition)
         if holder is None:
             self._metrics.count("quota_without_keeper")
-            return GrantReply({})
+            return None
         try:
             if holder.node_id == self._fleet.own.node_id:
                 return self._keeper.grant(request)
@@ -285,7 +301,7 @@
             )
         except (ControlError, NotKeeperError):
             self._metrics.count("quota_ask_failures")
-            return GrantReply({})
+            return None
 
     def _drop_idle(self) -> None:
         now = self._clock.monotonic()
--- a/packages/node/src/cassiahatch_node/control/tenures.py
+++ b/packages/node/src/cassiahatch_node/control/tenures.py
@@ -172,11 +172,12 @@
         if own.state is not MemberState.READY:
             return []
         quota = self._settings.quota
-        partitions = [
+        kept = [
             f"{QUOTA_PREFIX}{group}/{keeper}"
             for group in range(quota.groups)
             for keeper in range(quota.keepers)
         ]
+        partitions = [p for p in kept if self._find_service(p) == own.service]
         if any(not route.idempotent for route in own.routes):
             shards = range(self._settings.once.shards)
             partitions += [f"{own.service}/{shard}" for shard in shards]
@@ -271,7 +272,7 @@
 
     def _is_due(self, partition: str) -> bool:
         holder = self._fleet.roster.find_holder(partition)
-        if partition not in self._next_checks or holder is None:
+        if holder is None:
             return True
         return self._choose(partition, holder.node_id) == self._fleet.own
 
@@ -310,18 +311,25 @@
 
     def _choose(self, partition: str, without: str = "") -> Member | None:
         """Return the member that comes first for a partition by hash."""
-        if partition.startswith(QUOTA_PREFIX):
-            members = self._fleet.roster.list_members()
-            candidates = [m for m in members if m.state is MemberState.READY]
-        else:
-            service = partition.partition("/")[0]
-            candidates = self._fleet.roster.list_service(service)
+        candidates = self._fleet.roster.list_service(self._find_service(partition))
         return max(
             (m for m in candidates if m.node_id != without),
             key=lambda m: hash_text(f"{partition}|{m.node_id}"),
             default=None,
         )
 
+    def _find_service(self, partition: str) -> str:
+        """Return the service whose members may hold a partition.
+
+        Quota partitions are spread over the services, so that no node has to weigh
+        the whole fleet for them.
+        """
+        service = partition.partition("/")[0]
+        if not partition.startswith(QUOTA_PREFIX):
+            return service
+        services = self._fleet.roster.list_services()
+        return services[hash_text(partition) % len(services)]
+
     async def _hand_over(self, holding: Holding, successor: Member) -> None:
         partition = holding.tenure.partition
         closed = self._book.close(partition)
--- a/packages/policies/src/cassiahatch_policies/once/ledger.py
+++ b/packages/policies/src/cassiahatch_policies/once/ledger.py
@@ -71,7 +71,14 @@
         Most bytes of answers kept; new keys are refused beyond it.
     """
 
-    __slots__ = ("_bytes", "_capacity", "_lifetime_ms", "_records", "_skew_ms")
+    __slots__ = (
+        "_bytes",
+        "_capacity",
+        "_latest_ms",
+        "_lifetime_ms",
+        "_records",
+        "_skew_ms",
+    )
 
     def __init__(self, lifetime_ms: int, skew_ms: int, capacity: int) -> None:
         self._lifetime_ms = lifetime_ms
@@ -79,6 +86,7 @@
         self._capacity = capacity
         self._records: dict[str, KeyRecord] = {}
         self._bytes = 0
+        self._latest_ms = 0
 
     def __len__(self) -> int:
         return len(self._records)
@@ -99,6 +107,7 @@
         fingerprint : str
             Hash of the request that comes with the key.
         """
+        now_ms = self._advance(now_ms)
         record = self._records.get(key)
         if record is not None:
             return self._decide_known(record, fingerprint)
@@ -126,7 +135,7 @@
 
     def forget_expired(self, now_ms: int) -> None:
         """Drop records of keys that are refused for their age by now."""
-        oldest = now_ms - self._lifetime_ms - self._skew_ms
+        oldest = self._advance(now_ms) - self._lifetime_ms - self._skew_ms
         for record in list(self._records.values()):
             if record.mint_ms < oldest and record.state is not KeyState.RUNNING:
                 self._remove(record)
@@ -153,6 +162,11 @@
         """Return how many keys of a partition run now."""
         return sum(r.state is KeyState.RUNNING for r in self.export(partition))
 
+    def _advance(self, now_ms: int) -> int:
+        """Return the latest time seen, so that a clock set back revives no key."""
+        self._latest_ms = max(self._latest_ms, now_ms)
+        return self._latest_ms
+
     def _remove(self, record: KeyRecord) -> None:
         del self._records[record.key]
         if record.answer is not None:
--- a/packages/standins/src/cassiahatch_standins/bench.py
+++ b/packages/standins/src/cassiahatch_standins/bench.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
@@ -142,6 +143,8 @@
     attempts_per_request: float
     wrong: int
     repeated_runs: int
+    calm_failures: dict[str, int]
+    """Outcomes of requests that were sent before the trigger and not answered whole."""
     windows: list[float]
     """Share of requests answered whole, by window of arrival."""
 
@@ -217,10 +220,17 @@
         attempts_per_request=statistics.mean(r.attempts for r in sent),
         wrong=sum(r.is_wrong for r in requests),
         repeated_runs=sum(count > 1 for count in runs.values()),
+        calm_failures=count_failures(requests, trigger[0]),
         windows=windows,
     )
 
 
+def count_failures(requests: list[Request], until: float) -> dict[str, int]:
+    """Return how attempts of failed requests ended that were sent before a time."""
+    failed = [r for r in requests if r.started < until and not r.is_whole]
+    return dict(Counter(outcome for r in failed for outcome in r.outcomes))
+
+
 def compute_deep_capacity(deployment: Deployment) -> float:
     """Return the calls a second that the slowed deep service can serve."""
     spec = slow_down(deployment, {})
--- a/packages/standins/src/cassiahatch_standins/bench_control.py
+++ b/packages/standins/src/cassiahatch_standins/bench_control.py
@@ -20,6 +20,8 @@
 import msgspec
 from rich.console import Console
 from rich.table import Table
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
 
 from cassiahatch_kernel.clock import SystemClock
 from cassiahatch_kernel.members import Claim, Member, MemberState, Route
@@ -33,9 +35,12 @@
     PlanLists,
     hash_key,
 )
-from cassiahatch_node.control.gossip import Gossip
-from cassiahatch_node.control.messages import FleetState
+from cassiahatch_node.control.client import ControlClient
+from cassiahatch_node.control.gossip import GOSSIP_PATH, Gossip
+from cassiahatch_node.control.messages import FleetState, GossipReply
 from cassiahatch_node.fleet import Fleet
+from cassiahatch_node.frontends.control import ControlService, GossipHandler
+from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_node.settings import NodeSettings, PeerSettings
 from cassiahatch_policies.membership import Roster
 from cassiahatch_policies.once import Ledger
@@ -43,7 +48,7 @@
 from cassiahatch_policies.quota import Grant, KeeperBucket, Wallet
 from cassiahatch_standins.deployments import make_hielo_sur
 from cassiahatch_standins.processes import read_usage
-from cassiahatch_standins.site import Site
+from cassiahatch_standins.site import HOST, Site, list_free_ports
 
 MEMBERS = (100, 1_000, 6_100)
 CUSTOMERS = (100, 1_000, 10_000)
@@ -51,6 +56,7 @@
 SERVICES = 220
 CHANGED = 760
 REPEATS = 50
+EXCHANGES = 300
 SETTLE_S = 20.0
 IDLE_S = 10.0
 UPSTREAMS = (2, 6)
@@ -195,6 +201,27 @@
     ]
 
 
+async def measure_exchange() -> Row:
+    """Return the processor time of one control exchange, both ends together."""
+    gossip = build_gossip(build_roster(100))
+    service = ControlService("x" * 16, *[None] * 6, None)
+    service.gossip = gossip
+    service.metrics = Metrics()
+    handlers = [(GOSSIP_PATH, GossipHandler, {"service": service})]
+    server = HTTPServer(Application(handlers, log_function=lambda handler: None))
+    [port] = list_free_ports(1, 77)
+    server.listen(port, HOST)
+    client = ControlClient("x" * 16, Metrics())
+    request = gossip._make_request(False)
+    started = time.process_time()
+    for _repeat in range(EXCHANGES):
+        await client.post(f"{HOST}:{port}", GOSSIP_PATH, request, GossipReply)
+    spent = (time.process_time() - started) * 1000 / EXCHANGES
+    client.close()
+    server.stop()
+    return Row("control exchange, both ends", 1, spent, "ms")
+
+
 def fill_ledger() -> Ledger:
     """Return a ledger with many answered keys."""
     ledger = Ledger(600_000, 2_000, 1 << 30)
@@ -246,6 +273,7 @@
     rows.append(measure_zone())
     rows += [row for count in CUSTOMERS for row in measure_lists(count)]
     rows += measure_keys()
+    rows.append(await measure_exchange())
     for upstreams in UPSTREAMS:
         rows += await measure_idle(upstreams)
     table = Table(title="control slopes")
--- /dev/null
+++ b/packages/standins/src/cassiahatch_standins/bench_hash.py
@@ -0,0 +1,93 @@
+"""How evenly, and at what cost, keys fall on shards.
+
+Run it with ``python -m cassiahatch_standins.bench_hash``. After "Metrictank Data
+Distribution: The Quest for the Best Hashing Method", 2020; jump hash after Lamping and
+Veach, "A Fast, Minimal Memory, Consistent Hash Algorithm", 2014.
+"""
+
+from __future__ import annotations
+
+import random
+import statistics
+import time
+import zlib
+from collections import Counter
+from collections.abc import Callable
+
+from rich.console import Console
+from rich.table import Table
+
+from cassiahatch_kernel.hashing import hash_text
+from cassiahatch_kernel.keys import mint_key
+
+SHARDS = (32, 128, 1024)
+KEYS = 100_000
+JUMP_MULTIPLIER = 2862933555777941757
+WORD = (1 << 64) - 1
+
+ShardFinder = Callable[[str, int], int]
+
+
+def find_by_modulo(key: str, shards: int) -> int:
+    """Return xxHash modulo the number of shards."""
+    return hash_text(key) % shards
+
+
+def find_by_checksum(key: str, shards: int) -> int:
+    """Return CRC-32 modulo the number of shards."""
+    return zlib.crc32(key.encode()) % shards
+
+
+def find_by_jump(key: str, shards: int) -> int:
+    """Return the jump hash of xxHash."""
+    state = hash_text(key)
+    found, following = -1, 0
+    while following < shards:
+        found = following
+        state = (state * JUMP_MULTIPLIER + 1) & WORD
+        following = int((found + 1) * ((1 << 31) / ((state >> 33) + 1)))
+    return found
+
+
+FINDERS: dict[str, ShardFinder] = {
+    "xxHash, modulo": find_by_modulo,
+    "CRC-32, modulo": find_by_checksum,
+    "xxHash, jump": find_by_jump,
+}
+
+
+def make_keys() -> dict[str, list[str]]:
+    """Return the keys that both deployments use."""
+    source = random.Random(1)
+    wall = 1_796_380_000.0
+    minted = [mint_key(wall + n / 100, source) for n in range(KEYS)]
+    customers = [f"customer-{number}" for number in range(KEYS)]
+    return {"idempotency keys": minted, "customers": customers}
+
+
+def main() -> None:
+    """Print the evenness and the cost of each way."""
+    table = Table(title=f"{KEYS} keys")
+    for column in ("keys", "way", "shards", "variation", "min/max", "ns/key"):
+        table.add_column(column)
+    for kind, keys in make_keys().items():
+        for name, find in FINDERS.items():
+            for shards in SHARDS:
+                started = time.process_time()
+                counts = Counter(find(key, shards) for key in keys)
+                cost = (time.process_time() - started) * 1e9 / KEYS
+                loads = [counts[shard] for shard in range(shards)]
+                variation = statistics.pstdev(loads) / statistics.mean(loads)
+                table.add_row(
+                    kind,
+                    name,
+                    str(shards),
+                    f"{variation:.4f}",
+                    f"{min(loads) / max(loads):.3f}",
+                    f"{cost:.0f}",
+                )
+    Console(width=100).print(table)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -118,6 +118,14 @@
     assert isinstance(ledger.begin("p", "b", NOW + 2_000, "f", NOW + 2_000), Run)
 
 
+def test_a_clock_that_is_set_back_revives_no_key():
+    ledger = Ledger(1_000, 0, 1_000)
+    ledger.begin("p", "a", NOW, "f", NOW)
+    ledger.finish("a", Answer(200))
+    ledger.forget_expired(NOW + 5_000)
+    assert isinstance(ledger.begin("p", "a", NOW, "f", NOW + 500), Stop)
+
+
 ROUTE = Route("POST", "/orders", Importance.CRITICAL, idempotent=False)
 NODES = ("a", "b", "c")
 SHARDS = 2
