Send a key to its last holder while the next one is not known

Change: while no holder is known, the last known one is asked, once for a call; it sends the call on to its successor. The wait for a holder is 1.5 s.

--- a/packages/node/src/cassiahatch_node/router.py
+++ b/packages/node/src/cassiahatch_node/router.py
@@ -31,7 +31,7 @@
 
 PATH_LEVEL_HORIZON_S = 0.5
 PATH_LEVEL_WEIGHT = 0.2
-OWNER_WAIT_S = 1.0
+OWNER_WAIT_S = 1.5
 """How long a key's call waits for a holder to become known during a hand-over."""
 OWNER_POLL_S = 0.02
 MAX_LOSSES = 2
@@ -82,6 +82,7 @@
 
     __slots__ = (
         "_clock",
+        "_last_holders",
         "_metrics",
         "_path_levels",
         "_picker",
@@ -113,6 +114,7 @@
             "picker", settings.plugins.picker, settings.node.zone, source
         )
         self._targets: dict[str, Target] = {}
+        self._last_holders: dict[str, str] = {}
         self._path_levels: dict[tuple[str, Route], PathLevel] = {}
         self.pool: LinkPool | None = None
 
@@ -231,7 +233,7 @@
         self, call: Call, context: CallContext, tried: set[str]
     ) -> Target | Refusal:
         if not call.idempotent:
-            return await self._choose_owner(call, context)
+            return await self._choose_owner(call, context, tried)
         members = self._roster.list_service(call.service)
         fresh = [m for m in members if m.node_id not in tried] or members
         if not fresh:
@@ -245,13 +247,21 @@
             return Refusal("overloaded", "refused by importance", level=level)
         return target
 
-    async def _choose_owner(self, call: Call, context: CallContext) -> Target | Refusal:
+    async def _choose_owner(
+        self, call: Call, context: CallContext, tried: set[str]
+    ) -> Target | Refusal:
+        """Return the holder of the key, or who held it last and can send it on."""
         shard = find_shard(call.key, self._settings.once.shards)
+        partition = f"{call.service}/{shard}"
         until = min(context.deadline, self._clock.monotonic() + OWNER_WAIT_S)
         while True:
-            owner = self._roster.find_holder(f"{call.service}/{shard}")
+            owner = self._roster.find_holder(partition)
             if owner is not None:
+                self._last_holders[partition] = owner.node_id
                 return self.get_target(owner)
+            last = self._roster.get(self._last_holders.get(partition, ""))
+            if last is not None and last.node_id not in tried:
+                return self.get_target(last)
             if self._clock.monotonic() >= until:
                 break
             await asyncio.sleep(OWNER_POLL_S)
