Share the client of the platform's two services

Cause: the table's and the object store's clients held the same connection, timeout and error handling twice.

Change: PlatformClient has it once; both use it. No behaviour changes.

--- a/packages/node/src/cassiahatch_node/adapters/table.py
+++ b/packages/node/src/cassiahatch_node/adapters/table.py
@@ -6,8 +6,7 @@
 from urllib.parse import quote
 
 import msgspec
-from tornado.curl_httpclient import CurlError
-from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.httpclient import HTTPResponse
 
 from cassiahatch_kernel.ports import (
     BadStoreDataError,
@@ -16,13 +15,10 @@
     Conflict,
     Row,
     Scan,
-    StoreUnavailableError,
     Write,
 )
 from cassiahatch_kernel.registry import PLUGINS
-from cassiahatch_node.http_client import fetch_response, make_client
-
-MAX_CLIENTS = 20
+from cassiahatch_node.adapters.platform import PlatformClient
 
 
 class RowBody(msgspec.Struct, frozen=True):
@@ -83,20 +79,18 @@
         How long to wait for an answer.
     """
 
-    __slots__ = ("_client", "_timeout_s", "_url")
+    __slots__ = ("_platform",)
 
     def __init__(self, url: str, timeout_s: float) -> None:
-        self._url = url
-        self._timeout_s = timeout_s
-        self._client = make_client(MAX_CLIENTS)
+        self._platform = PlatformClient("table", url, timeout_s)
 
     def close(self) -> None:
         """Close the client."""
-        self._client.close()
+        self._platform.close()
 
     async def read(self, key: str) -> Row | None:
         """Return a row, or None if it does not exist."""
-        response = await self._fetch("GET", f"/v1/rows/{quote(key, safe='')}")
+        response = await self._platform.fetch("GET", f"/v1/rows/{quote(key, safe='')}")
         if response.code == 404:
             return None
         return _read_row(_decode(response, RowBody))
@@ -104,7 +98,7 @@
     async def scan(self, prefix: str, since: int = 0) -> Scan:
         """Return the rows below ``prefix`` that changed after ``since``."""
         path = f"/v1/rows?prefix={quote(prefix, safe='')}&since={since}"
-        body = _decode(await self._fetch("GET", path), ScanBody)
+        body = _decode(await self._platform.fetch("GET", path), ScanBody)
         rows = tuple(_read_row(row) for row in body.rows)
         return Scan(rows, body.removed, body.revision)
 
@@ -117,29 +111,12 @@
             tuple(WriteBody(w.key, _encode_value(w.value)) for w in writes),
         )
         body = msgspec.json.encode(transaction)
-        response = await self._fetch("POST", "/v1/transactions", body)
+        response = await self._platform.fetch("POST", "/v1/transactions", body)
         reply = _decode(response, TransactionReply)
         if reply.committed:
             return Committed(reply.revision)
         return Conflict(reply.key, reply.version)
 
-    async def _fetch(
-        self, method: str, path: str, body: bytes | None = None
-    ) -> HTTPResponse:
-        request = HTTPRequest(
-            self._url + path,
-            method=method,
-            body=body,
-            connect_timeout=self._timeout_s,
-            request_timeout=self._timeout_s,
-        )
-        response = await fetch_response(self._client, request)
-        if isinstance(response, CurlError):
-            raise StoreUnavailableError(f"table: {response.message}")
-        if response.code not in (200, 404):
-            raise StoreUnavailableError(f"table: {response.code} {response.reason}")
-        return response
-
 
 def _encode_value(value: bytes | None) -> str | None:
     return None if value is None else base64.b64encode(value).decode()
