--- a/packages/policies/src/cassiahatch_policies/once/ledger.py
+++ b/packages/policies/src/cassiahatch_policies/once/ledger.py
@@ -7,6 +7,9 @@
 
 from cassiahatch_kernel.outcomes import Answer, Outcome, Refusal, Unknown
 
+RECORD_BYTES = 400
+"""What a record takes beside the body of its answer."""
+
 
 class KeyState(Enum):
     """Where the one run of a key stands."""
@@ -68,7 +71,7 @@
     skew_ms : int
         Bound on how far clocks may differ.
     capacity : int
-        Most bytes of answers kept; new keys are refused beyond it.
+        Most bytes of records and answers kept; new keys are refused beyond it.
     """
 
     __slots__ = (
@@ -118,13 +121,14 @@
         if self._bytes >= self._capacity:
             return Stop(Refusal("ledger_full", "too many recent keys", 503))
         self._records[key] = KeyRecord(partition, key, fingerprint, mint_ms)
+        self._bytes += RECORD_BYTES
         return Run()
 
     def finish(self, key: str, outcome: Outcome) -> None:
         """Record how the run of a key ended."""
         match outcome:
             case Refusal():
-                self._records.pop(key, None)
+                self._remove(self._records[key])
             case Answer():
                 record = self._records[key]
                 record.state = KeyState.ANSWERED
@@ -149,7 +153,11 @@
         for record in records:
             if record.state is KeyState.RUNNING:
                 record.state = KeyState.LOST
+            known = self._records.get(record.key)
+            if known is not None:
+                self._remove(known)
             self._records[record.key] = record
+            self._bytes += RECORD_BYTES
             if record.answer is not None:
                 self._bytes += len(record.answer.body)
 
@@ -169,6 +177,7 @@
 
     def _remove(self, record: KeyRecord) -> None:
         del self._records[record.key]
+        self._bytes -= RECORD_BYTES
         if record.answer is not None:
             self._bytes -= len(record.answer.body)
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -118,6 +118,12 @@
     assert isinstance(ledger.begin("p", "b", NOW + 2_000, "f", NOW + 2_000), Run)
 
 
+def test_keys_without_answers_fill_the_ledger_too():
+    ledger = Ledger(1_000, 0, 2_000)
+    decisions = [ledger.begin("p", str(n), NOW, "f", NOW) for n in range(50)]
+    assert 0 < sum(isinstance(d, Run) for d in decisions) <= 5
+
+
 def test_a_clock_that_is_set_back_revives_no_key():
     ledger = Ledger(1_000, 0, 1_000)
     ledger.begin("p", "a", NOW, "f", NOW)
