Let two nodes a zone follow the store for all of it, and pass on only what peers lack

Cause: every node followed both feeds, and every node that adopted a configuration sent it whole to every peer: 16 x 15 copies a change, each decoded before its version was looked at. A greeting sent all members to a peer that lacked one. Change: Readers: the first two nodes of a zone that show that they follow the store pass on its changes over their links in the zone; others step in after a second of silence or once a reader has lost the store; a node without store and readers asks any peer. News carry versions: a configuration that is known is not decoded, members are sent from the version that the peer has, and a reader's beat shows a gap, which is asked for.

--- a/packages/node/src/cassiahatch_node/mesh/directory.py
+++ b/packages/node/src/cassiahatch_node/mesh/directory.py
@@ -139,6 +139,19 @@
         """Return the links that stand."""
         return [link for link in self._links.values() if link.is_ready]
 
+    def list_zone_links(self) -> list[PeerLink]:
+        """Return the links that stand to nodes of the own zone."""
+        return [
+            link
+            for link in self.list_links()
+            if self.find_zone(link.node_id) == self._zone
+        ]
+
+    def find_zone(self, node_id: str) -> str | None:
+        """Return the availability zone of a member, or None if it is not known."""
+        member = self.members.get(node_id)
+        return None if member is None else member.zone
+
     def count_ready(self) -> int:
         """Return how many members have a backend server that has not left."""
         return sum(m.state is MemberState.READY for m in self.members.values())
--- a/packages/node/src/cassiahatch_node/mesh/frames.py
+++ b/packages/node/src/cassiahatch_node/mesh/frames.py
@@ -10,7 +10,7 @@
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 72 * 1024 * 1024
 """Longest frame: the largest body that a configuration may allow, and its head."""
-LINK_VERSION = 1
+LINK_VERSION = 2
 """Version of the messages; a peer of another version is not linked to."""
 
 
@@ -65,16 +65,36 @@
 
 
 class NewsFrame(msgspec.Struct, array_like=True, tag=6, frozen=True):
-    """What the sender read from the store and the receiver may lack."""
+    """What the sender knows from the store and the receiver may lack."""
 
-    config: bytes
+    config: bytes = b""
     """The configuration as stored; empty if the receiver has it."""
-    members: tuple[bytes, ...]
+    config_version: int = 0
+    """Its version, so that a receiver which has it need not decode it."""
+    members: tuple[bytes, ...] = ()
     """Members as stored."""
+    members_since: int = 0
+    members_version: int = 0
+    """The members are all that changed between these store versions; both are 0 for
+    the record of a single member."""
+
+
+class ReaderFrame(msgspec.Struct, array_like=True, tag=7, frozen=True):
+    """The sender follows the store for the nodes of its availability zone."""
+
+    config_version: int
+    members_version: int
 
 
 Frame = (
-    Hello | CallFrame | ResultFrame | CancelFrame | ProbeFrame | LoadFrame | NewsFrame
+    Hello
+    | CallFrame
+    | ResultFrame
+    | CancelFrame
+    | ProbeFrame
+    | LoadFrame
+    | NewsFrame
+    | ReaderFrame
 )
 """Anything sent on a link."""
 
--- a/packages/node/src/cassiahatch_node/mesh/knowledge.py
+++ b/packages/node/src/cassiahatch_node/mesh/knowledge.py
@@ -23,11 +23,13 @@
     StoreUnavailableError,
 )
 from cassiahatch_node.mesh.directory import Directory
-from cassiahatch_node.mesh.frames import Hello, NewsFrame
+from cassiahatch_node.mesh.frames import Hello, NewsFrame, ReaderFrame
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.settings import StoreSection
 
 MEMBER_TABLE = "members"
+FROM_STORE = "store"
+FROM_PEER = "peer"
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 """Pauses after the store failed; well below the 2 s in which it must be caught up
@@ -78,8 +80,11 @@
         self._on_configuration = on_configuration
         self._config_value = b""
         self._failing: set[str] = set()
+        self._duty = asyncio.Event()
+        self._duty.set()
         self.config_version = 0
         self.members_version = 0
+        """Version of the store up to which all changes of members are known."""
         self.member_rows: dict[str, int] = {}
         """Store versions of the members' rows, by node."""
         self.on_members_read: Callable[[], None] = _ignore
@@ -97,29 +102,60 @@
         """Keep the members up to date, for ever."""
         await self._follow(MEMBER_TABLE, self._take_members, self._settings.pace_s)
 
+    @property
+    def has_store(self) -> bool:
+        """Whether the store answered last."""
+        return not self._failing
+
+    def change_duty(self, is_reader: bool) -> None:
+        """Go on following the store, or leave that to others in the zone."""
+        if is_reader:
+            self._duty.set()
+        else:
+            self._duty.clear()
+
     def make_hello(self, link_version: int, node_id: str) -> Hello:
         """Return the greeting of this node."""
         return Hello(link_version, node_id, self.config_version, self.members_version)
 
+    def make_reader_frame(self) -> ReaderFrame:
+        """Return what tells the zone that this node follows the store for it."""
+        return ReaderFrame(self.config_version, self.members_version)
+
+    def is_behind(self, reader: ReaderFrame) -> bool:
+        """Tell whether a reader knows more than this node."""
+        return (
+            reader.config_version > self.config_version
+            or reader.members_version > self.members_version
+        )
+
     def make_news(self, hello: Hello) -> NewsFrame | None:
         """Return what the sender of a greeting lacks, or None."""
-        config = b""
+        config, members = b"", ()
         if hello.config_version < self.config_version:
             config = self._config_value
-        members: tuple[bytes, ...] = ()
-        if hello.members_version < self.members_version:
-            known = self._directory.members.values()
-            members = tuple(encode_member(member) for member in known)
+        since = hello.members_version
+        if since < self.members_version:
+            versions = self.member_rows
+            members = tuple(
+                encode_member(member)
+                for member in self._directory.members.values()
+                if versions.get(member.node_id, since + 1) > since
+            )
         if not config and not members:
             return None
-        return NewsFrame(config, members)
+        return NewsFrame(
+            config, self.config_version, members, since, self.members_version
+        )
 
     def take_news(self, news: NewsFrame) -> None:
-        """Take in what a peer read from the store."""
-        if news.config:
-            self.adopt(news.config, "peer")
+        """Take in what a peer knows from the store."""
+        if news.config and news.config_version > self.config_version:
+            self.adopt(news.config, FROM_PEER)
         for value in news.members:
             self._learn(value)
+        if news.members_since <= self.members_version < news.members_version:
+            self.members_version = news.members_version
         if news.members:
             self.on_members_read()
 
@@ -141,12 +177,12 @@
             routes=len(configuration.rules),
             origin=origin,
         )
-        self._pass_on(value)
+        if origin == FROM_STORE:
+            self._pass_on(NewsFrame(value, configuration.version))
         return True
 
-    def _pass_on(self, value: bytes) -> None:
-        news = NewsFrame(value, ())
-        for link in self._directory.list_links():
+    def _pass_on(self, news: NewsFrame) -> None:
+        for link in self._directory.list_zone_links():
             link.send_news(news)
 
     async def _follow(
@@ -155,6 +191,8 @@
         backoff_s = FIRST_BACKOFF_S
         since: int | None = None
         while True:
+            if since is not None:
+                await self._duty.wait()
             try:
                 if since is None:
                     scan = await self._store.read_table(table)
@@ -182,7 +220,7 @@
     def _take_configuration(self, scan: Scan, is_whole: bool) -> None:
         for row in scan.rows:
             if row.key == self._source.key:
-                self.adopt(row.value, "store")
+                self.adopt(row.value, FROM_STORE)
 
     def _take_members(self, scan: Scan, is_whole: bool) -> None:
         for row in scan.rows:
@@ -193,8 +231,11 @@
         for key in gone:
             self.member_rows.pop(key, None)
             self._directory.forget(key)
-        self.members_version = scan.revision
+        since, self.members_version = self.members_version, scan.revision
         self.on_members_read()
+        if scan.rows and not is_whole:
+            records = tuple(row.value for row in scan.rows)
+            self._pass_on(NewsFrame(b"", 0, records, since, scan.revision))
 
     def _take_row(self, row: Row) -> None:
         self.member_rows[row.key] = row.version
--- a/packages/node/src/cassiahatch_node/mesh/link_in.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_in.py
@@ -19,6 +19,7 @@
     LoadFrame,
     NewsFrame,
     ProbeFrame,
+    ReaderFrame,
     ResultFrame,
     encode_frame,
 )
@@ -43,6 +44,8 @@
     on_news: Callable[[NewsFrame], None]
     on_peer: Callable[[str], None]
     """Hears of each peer that opens a link: it can be reached again."""
+    on_reader: Callable[[str, ReaderFrame], None]
+    """Hears of each peer that follows the store for its zone."""
     read_cutoff: Callable[[str], float]
     """Returns the lowest cutoff known at or below this service for a route."""
     connections: set[PeerConnection] = field(default_factory=set)
@@ -57,7 +60,7 @@
 
     def announce_member(self, record: bytes) -> None:
         """Tell all peers what the backend server now is."""
-        data = encode_frame(NewsFrame(b"", (record,)))
+        data = encode_frame(NewsFrame(members=(record,)))
         for connection in self.connections:
             connection.write(data)
 
@@ -135,6 +138,8 @@
                 self._greet(frame)
             case NewsFrame():
                 self._service.on_news(frame)
+            case ReaderFrame():
+                self._service.on_reader(self._peer, frame)
             case _:
                 raise BadFrameError("not a message for the serving end")
 
--- a/packages/node/src/cassiahatch_node/mesh/link_out.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_out.py
@@ -20,6 +20,7 @@
     LoadFrame,
     NewsFrame,
     ProbeFrame,
+    ReaderFrame,
     ResultFrame,
     encode_frame,
 )
@@ -223,18 +224,24 @@
     def _greet(self, hello: Hello) -> None:
         if hello.link_version != LINK_VERSION:
             raise BadFrameError(f"link version {hello.link_version}")
-        self.is_ready = True
-        self._events.on_ready(self.node_id)
-        self._journal.note("link_ready", peer=self.node_id)
+        if not self.is_ready:
+            self.is_ready = True
+            self._events.on_ready(self.node_id)
+            self._journal.note("link_ready", peer=self.node_id)
         news = self._events.on_hello(hello)
         if news is not None:
             self._send(news)
 
-    def send_news(self, news: NewsFrame) -> None:
+    def send_news(self, news: NewsFrame | ReaderFrame) -> None:
         """Tell the peer what was read from the store."""
         if self.is_ready:
             self._send(news)
 
+    def ask_for_news(self) -> None:
+        """Have the peer send what it knows and this node lacks."""
+        if self.is_ready:
+            self._send(self._events.make_hello())
+
     def _send(self, frame: Frame) -> None:
         self._transport.write(encode_frame(frame))
 
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -29,6 +29,7 @@
 from cassiahatch_node.mesh.link_in import LinkService, PeerConnection
 from cassiahatch_node.mesh.link_out import LinkEvents, PeerLink
 from cassiahatch_node.mesh.own_backend import OwnBackend
+from cassiahatch_node.mesh.readers import Readers
 from cassiahatch_node.mesh.registration import Registration
 from cassiahatch_node.mesh.settings import MeshSettings, split_address
 from cassiahatch_node.mesh.settings_watch import SettingsWatch
@@ -127,6 +128,15 @@
             self._put_in_force,
         )
         self.knowledge.on_members_read = self._take_members
+        self.readers = Readers(
+            node.id,
+            node.zone,
+            self.knowledge,
+            self.directory,
+            clock,
+            self._random,
+            self.journal,
+        )
         peer_host, peer_port = split_address(node.peers)
         own = Member(
             node.id, peer_host, peer_port, node.zone, int(clock.wall() * MS_PER_S)
@@ -192,6 +202,7 @@
             self.knowledge.make_news,
             self.knowledge.take_news,
             self.directory.hear_of,
+            self.readers.note,
             self.graph.read_own,
         )
         self.registration.on_change = self._links.announce_member
@@ -247,6 +258,7 @@
             self.knowledge.follow_configuration,
             self.knowledge.follow_members,
             self.registration.run,
+            self.readers.run,
             self.directory.check_links,
             self.ingress.sweep,
             self.ingress.watch,
--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -89,6 +89,7 @@
         self.is_down = False
         self.loses_answers = False
         self.calls = 0
+        self.follow_calls = 0
         self._changed = asyncio.Event()
 
     async def open(self, stack: AsyncExitStack) -> None:
@@ -147,6 +148,7 @@
                     "ver": self.version,
                 }
             case "/v1/rows-feed":
+                self.follow_calls += 1
                 return await self._feed(query)
             case "/v1/rows-tx":
                 return self._transact(json.loads(request.body))
--- a/tests/test_mesh_frames.py
+++ b/tests/test_mesh_frames.py
@@ -17,6 +17,7 @@
     LoadFrame,
     NewsFrame,
     ProbeFrame,
+    ReaderFrame,
     ResultFrame,
     encode_frame,
 )
@@ -47,7 +48,8 @@
     CancelFrame(4),
     ProbeFrame(),
     LoadFrame(Load(5, 6, 7, 8.0)),
-    NewsFrame(b"config", (b"m1", b"m2")),
+    NewsFrame(b"config", 7, (b"m1", b"m2"), 3, 9),
+    ReaderFrame(7, 9),
 ]
 
 
--- /dev/null
+++ b/tests/test_mesh_readers.py
@@ -0,0 +1,104 @@
+"""Sharing the reading of the store among the nodes of a zone."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from cassiahatch_node.mesh.readers import READERS_PER_ZONE, SILENT_AFTER_S, START_S
+from mesh_site import Site
+from test_mesh import ROUTES, play
+
+CONFIG_BOUND_S = 2.0
+"""Time in which a stored configuration must be in force, as the deployments state."""
+
+
+async def build_zones(site: Site, zones: list[str]) -> None:
+    site.configure(ROUTES)
+    for zone in zones:
+        await site.add("books", zone)
+    await site.settle()
+    await asyncio.sleep(START_S + SILENT_AFTER_S)
+
+
+def list_running(site: Site) -> list:
+    return [host for host in site.hosts if host.sidecar is not None]
+
+
+async def wait_in_force(site: Site) -> None:
+    async with asyncio.timeout(CONFIG_BOUND_S):
+        while any(
+            host.sidecar.knowledge.config_version != site.version
+            for host in list_running(site)
+        ):
+            await asyncio.sleep(0.02)
+
+
+async def stop(site: Site, count: int) -> None:
+    for host in site.hosts[:count]:
+        await host.stop()
+        host.sidecar = None
+
+
+async def stop_no_reader(site: Site) -> None:
+    """All readers go on."""
+
+
+async def stop_one_reader(site: Site) -> None:
+    await stop(site, 1)
+
+
+async def stop_all_readers(site: Site) -> None:
+    await stop(site, READERS_PER_ZONE)
+
+
+LOSSES = [stop_no_reader, stop_one_reader, stop_all_readers]
+
+
+@pytest.mark.parametrize("lose", LOSSES, ids=lambda lose: lose.__name__)
+def test_a_change_reaches_all_nodes_by_few_calls(
+    lose: Callable[[Site], Awaitable[None]],
+) -> None:
+    async def scene(site: Site) -> None:
+        await build_zones(site, ["z1"] * 5)
+        await lose(site)
+        before = site.store.follow_calls
+        site.configure(ROUTES)
+        await wait_in_force(site)
+        await asyncio.sleep(0.2)
+        # A reader that stepped in asks for itself, and each asks again after news.
+        assert site.store.follow_calls - before <= 2 * READERS_PER_ZONE
+
+    play(scene)
+
+
+def test_a_member_that_changes_is_known_without_a_store() -> None:
+    async def scene(site: Site) -> None:
+        await build_zones(site, ["z1", "z1", "z1", "z2"])
+        site.store.is_down = True
+        changed = site.hosts[3]
+        await changed.announce(slots=9)
+        async with asyncio.timeout(CONFIG_BOUND_S):
+            while any(
+                host.sidecar.directory.members["n4"].slots != 9 for host in site.hosts
+            ):
+                await asyncio.sleep(0.02)
+
+    play(scene)
+
+
+def test_a_node_without_the_store_gets_news_from_another_zone() -> None:
+    async def scene(site: Site) -> None:
+        await build_zones(site, ["z1", "z2"])
+        for host in site.hosts[:1]:
+            host.sidecar._store._url = "http://127.0.0.1:9"
+        site.configure(ROUTES)
+        await asyncio.sleep(0.2)
+        site.configure(ROUTES)
+        async with asyncio.timeout(3 * CONFIG_BOUND_S):
+            while site.hosts[0].sidecar.knowledge.config_version != site.version:
+                await asyncio.sleep(0.02)
+
+    play(scene)
