End a silent connection to the store within 2.5 s

Cause: a reader's request for changes may lie on a connection that the path has forgotten for as long as the store holds it (25 s), and with two readers a zone that is felt by all of it. Change: keepalive probes each second and a user timeout of 2.5 s on connections to the store.

--- a/tests/test_mesh_readers.py
+++ b/tests/test_mesh_readers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
 
 from cassiahatch_node.mesh.readers import READERS_PER_ZONE, SILENT_AFTER_S, START_S
+from cassiahatch_platform.store import SILENT_AFTER_MS, watch_connection
 from mesh_site import Site
 from test_mesh import ROUTES, play
 
@@ -102,3 +104,13 @@
                 await asyncio.sleep(0.02)
 
     play(scene)
+
+
+def test_a_silent_connection_to_the_store_ends_within_the_bound() -> None:
+    with socket.socket() as connection:
+        watch_connection(connection.fileno(), 0)
+        assert connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        read = connection.getsockopt
+        assert read(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == SILENT_AFTER_MS
+        assert read(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) * 1000 <= SILENT_AFTER_MS
+        assert read(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL) * 1000 <= SILENT_AFTER_MS
