Keep requests that crash backend servers from running again on sidecars

Cause: the data path of sidecars had no quarantine; a request that crashes what runs it went on to every backend server that its caller's repeats reached. Change: CrashWatch: calls lost within 3 s of the proof that the backend server is gone, and those that ran then, are suspects; two crashes without an answer between them quarantine a request at all nodes (method, host, path, caller, body). Crashes and answers after them travel on the links and greetings; a node without suspects does no work.

--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -21,6 +21,7 @@
 from cassiahatch_kernel.members import Member
 from cassiahatch_kernel.routes import RouteRule, RouteTable
 from cassiahatch_node.mesh.call_graph import CallGraph
+from cassiahatch_node.mesh.crash_watch import CrashWatch
 from cassiahatch_node.mesh.directory import Directory
 from cassiahatch_node.mesh.ingress import Ingress
 from cassiahatch_node.mesh.journal import Journal
@@ -82,6 +83,8 @@
         Returns the service that runs on this VM.
     graph : CallGraph
         What runs of each route call, and the cutoffs met there.
+    crashes : CrashWatch
+        Keeps requests that crash backend servers from being sent.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         budget: Any,
         read_caller: Callable[[], str],
         graph: CallGraph,
+        crashes: CrashWatch,
         random_source: random.Random,
         metrics: Metrics,
         journal: Journal,
@@ -107,6 +111,7 @@
         self._budget = budget
         self._read_caller = read_caller
         self._graph = graph
+        self._crashes = crashes
         self._metrics = metrics
         self._journal = journal
         self.table: RouteTable | None = None
@@ -201,6 +206,9 @@
 
     async def _send(self, passage: Passage, member: Member, now: float) -> Result:
         call = self._make_call(passage, member, now)
+        obstacle = self._crashes.find_obstacle(call)
+        if obstacle is not None:
+            return obstacle
         if member.node_id == self._own_id:
             return await self._send_here(call, passage.expires_at)
         link = self._directory.find_link(member.node_id)
--- a/packages/node/src/cassiahatch_node/mesh/frames.py
+++ b/packages/node/src/cassiahatch_node/mesh/frames.py
@@ -86,6 +86,19 @@
     members_version: int
 
 
+class CrashFrame(msgspec.Struct, array_like=True, tag=8, frozen=True):
+    """A backend server died while it ran some requests."""
+
+    crash_id: str
+    fingerprints: tuple[str, ...]
+
+
+class ClearFrame(msgspec.Struct, array_like=True, tag=9, frozen=True):
+    """A request that ran at a crash was answered elsewhere."""
+
+    fingerprint: str
+
+
 Frame = (
     Hello
     | CallFrame
@@ -95,6 +108,8 @@
     | LoadFrame
     | NewsFrame
     | ReaderFrame
+    | CrashFrame
+    | ClearFrame
 )
 """Anything sent on a link."""
 
--- a/packages/node/src/cassiahatch_node/mesh/ingress.py
+++ b/packages/node/src/cassiahatch_node/mesh/ingress.py
@@ -18,6 +18,7 @@
     Result,
 )
 from cassiahatch_node.mesh.backend_client import BackendLine
+from cassiahatch_node.mesh.crash_watch import CrashWatch
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.own_backend import OwnBackend
 from cassiahatch_node.observability.metrics import Metrics
@@ -59,6 +60,8 @@
         Makes what a worker uses to talk to the backend server.
     probe : callable
         Tells whether the backend server still takes connections.
+    crashes : CrashWatch
+        Keeps requests that crash backend servers from running.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         cutoff: Any,
         create_line: Callable[[], BackendLine],
         probe: Callable[[], Awaitable[bool]],
+        crashes: CrashWatch,
         metrics: Metrics,
         journal: Journal,
     ) -> None:
@@ -78,6 +82,7 @@
         self._cutoff = cutoff
         self._create_line = create_line
         self._probe = probe
+        self._crashes = crashes
         self._metrics = metrics
         self._journal = journal
         self._idle: list[tuple[asyncio.Future[Job], BackendLine]] = []
@@ -119,7 +124,9 @@
             self._reject(arrival, Rejection(obstacle, elsewhere=True))
             return
         self._cutoff.note(arrival.call.position)
-        rejection = self._queue.offer(job, now)
+        rejection = self._crashes.find_obstacle(arrival.call)
+        if rejection is None:
+            rejection = self._queue.offer(job, now)
         if rejection is not None:
             self._reject(arrival, rejection)
             return
@@ -250,10 +257,13 @@
         match result:
             case Reply():
                 self._heard_at = self._clock.monotonic()
+                self._crashes.note_answered(arrival.call)
             case Rejection(reason=Reason.NO_BACKEND | Reason.OTHER_INSTANCE):
                 if arrival.call.instance == self._backend.instance:
                     self._note_missing(result.reason)
             case Rejection() | Lost():
+                if result.reason is Reason.BACKEND_LOST and not arrival.is_withdrawn:
+                    self._crashes.note_lost(arrival.call)
                 self._metrics.count(f"backend_failures:{result.reason}")
                 self._journal.trace(
                     "backend_failed",
@@ -267,6 +277,7 @@
         if not self._backend.is_missing:
             self._backend.is_missing = True
             self._journal.note("backend_missing", reason=reason)
+            self._crashes.note_crash(self._backend.instance, self.running.values())
             self.on_missing()
 
     def _reject(self, arrival: Arrival, rejection: Rejection) -> None:
--- a/packages/node/src/cassiahatch_node/mesh/link_in.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_in.py
@@ -13,6 +13,8 @@
     BadFrameError,
     CallFrame,
     CancelFrame,
+    ClearFrame,
+    CrashFrame,
     Frame,
     FrameReader,
     Hello,
@@ -46,6 +48,8 @@
     """Hears of each peer that opens a link: it can be reached again."""
     on_reader: Callable[[str, ReaderFrame], None]
     """Hears of each peer that follows the store for its zone."""
+    list_crashes: Callable[[], list[CrashFrame]]
+    """Returns what a peer that has just started must know of crashes."""
     read_cutoff: Callable[[str], float]
     """Returns the lowest cutoff known at or below this service for a route."""
     connections: set[PeerConnection] = field(default_factory=set)
@@ -58,6 +62,12 @@
         for connection in self.connections:
             connection.write(data)
 
+    def announce_crash(self, frame: CrashFrame | ClearFrame) -> None:
+        """Tell all peers of a crash, or that a request was answered after one."""
+        data = encode_frame(frame)
+        for connection in self.connections:
+            connection.write(data)
+
     def announce_member(self, record: bytes) -> None:
         """Tell all peers what the backend server now is."""
         data = encode_frame(NewsFrame(members=(record,)))
@@ -151,6 +161,8 @@
         service = self._service
         self.write(encode_frame(service.make_hello()))
         self.write(encode_frame(LoadFrame(service.ingress.load)))
+        for crash in service.list_crashes():
+            self.write(encode_frame(crash))
         news = service.on_hello(hello)
         if news is not None:
             self.write(encode_frame(news))
--- a/packages/node/src/cassiahatch_node/mesh/link_out.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_out.py
@@ -14,6 +14,8 @@
     BadFrameError,
     CallFrame,
     CancelFrame,
+    ClearFrame,
+    CrashFrame,
     Frame,
     FrameReader,
     Hello,
@@ -48,6 +50,7 @@
     on_news: Callable[[NewsFrame], None]
     on_hello: Callable[[Hello], NewsFrame | None]
     make_hello: Callable[[], Hello]
+    on_crash: Callable[[CrashFrame | ClearFrame], None]
     on_ready: Callable[[str], None]
     """Hears that the link stands, and that it is lost."""
 
@@ -210,6 +213,8 @@
                 self._greet(frame)
             case NewsFrame():
                 self._events.on_news(frame)
+            case CrashFrame() | ClearFrame():
+                self._events.on_crash(frame)
             case _:
                 raise BadFrameError("not a message for the calling end")
 
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -18,6 +18,7 @@
 from cassiahatch_node.mesh.backend_keeper import BackendKeeper
 from cassiahatch_node.mesh.call_graph import CallGraph
 from cassiahatch_node.mesh.control_server import ControlService, start_control_server
+from cassiahatch_node.mesh.crash_watch import CrashWatch
 from cassiahatch_node.mesh.directory import Directory
 from cassiahatch_node.mesh.egress import Egress
 from cassiahatch_node.mesh.frames import LINK_VERSION, Hello
@@ -104,6 +105,10 @@
         cutoff = PLUGINS.create("cutoff", plugins.cutoff)
         self.graph = CallGraph(clock, lambda: cutoff.value)
         self.backend = OwnBackend(settings.stopping.drain_s - DRAIN_MARGIN_S)
+        crashes = CrashWatch(
+            PLUGINS.create("quarantine", plugins.quarantine), clock, self.journal
+        )
+        self.crashes = crashes
         self.ingress = Ingress(
             clock,
             self.backend,
@@ -111,6 +116,7 @@
             cutoff,
             lambda: BackendLine(backend_host, backend_port, dialect, clock.monotonic),
             lambda: probe_backend(backend_host, backend_port),
+            crashes,
             self.metrics,
             self.journal,
         )
@@ -167,6 +173,7 @@
             self.budget,
             self._read_caller,
             self.graph,
+            crashes,
             self._random,
             self.metrics,
             self.journal,
@@ -203,9 +210,11 @@
             self.knowledge.take_news,
             self.directory.hear_of,
             self.readers.note,
+            crashes.list_frames,
             self.graph.read_own,
         )
         self.registration.on_change = self._links.announce_member
+        crashes.spread = self._links.announce_crash
         self.ingress.on_missing = self._announce_load
 
     async def __aenter__(self) -> Sidecar:
@@ -347,6 +356,7 @@
             self.knowledge.take_news,
             self.knowledge.make_news,
             self._make_hello,
+            self.crashes.take,
             self.directory.note_link,
         )
         return PeerLink(
--- a/packages/node/src/cassiahatch_node/mesh/settings.py
+++ b/packages/node/src/cassiahatch_node/mesh/settings.py
@@ -79,6 +79,7 @@
     cutoff: str = "wait"
     placement: str = "zone-wait"
     retry_budget: str = "share"
+    quarantine: str = "two-crashes"
 
 
 class MeshSettings(Section):
--- a/packages/policies/src/cassiahatch_policies/quarantine.py
+++ b/packages/policies/src/cassiahatch_policies/quarantine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import xxhash
@@ -33,11 +34,16 @@
 
 def compute_fingerprint(call: Call) -> str:
     """Return a hash by which the same request is known when it is sent again."""
+    return hash_request((call.service, call.method, call.path), call.body)
+
+
+def hash_request(parts: Iterable[str], body: bytes) -> str:
+    """Return a hash of what makes two requests the same one."""
     digest = xxhash.xxh3_128()
-    for part in (call.service, call.method, call.path):
+    for part in parts:
         digest.update(part.encode())
         digest.update(b"\0")
-    digest.update(call.body)
+    digest.update(body)
     return digest.hexdigest()
 
 
@@ -95,9 +101,32 @@
         """Take in that a request ended; one that was answered is cleared here."""
         if self._running_suspect == fingerprint:
             self._running_suspect = None
+        if survived:
+            self.clear(fingerprint)
+
+    def clear(self, fingerprint: str) -> bool:
+        """Drop a suspect that was answered, and tell whether it was one.
+
+        One that is in quarantine stays there.
+        """
         suspect = self._suspects.get(fingerprint)
-        if survived and suspect and len(suspect.crashes) < CRASHES_TO_QUARANTINE:
-            del self._suspects[fingerprint]
+        if suspect is None or len(suspect.crashes) >= CRASHES_TO_QUARANTINE:
+            return False
+        del self._suspects[fingerprint]
+        return True
+
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any request is under suspicion or in quarantine."""
+        return bool(self._suspects)
+
+    def list_crashes(self, now: float) -> list[Crash]:
+        """Return the crashes behind the requests that must not be run."""
+        crashes: dict[str, list[str]] = {}
+        for fingerprint in self.list_quarantined(now):
+            for crash_id in self._suspects[fingerprint].crashes:
+                crashes.setdefault(crash_id, []).append(fingerprint)
+        return [Crash(name, tuple(found)) for name, found in crashes.items()]
 
     def list_quarantined(self, now: float) -> list[str]:
         """Return the fingerprints that must not be run, sorted."""
--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -285,6 +285,9 @@
             case "reset":
                 writer.transport.abort()
                 return False
+            case "die":
+                self.crash()
+                return False
             case "cut":
                 writer.write(good[:-3])
                 writer.transport.abort()
--- /dev/null
+++ b/tests/test_mesh_crashes.py
@@ -0,0 +1,141 @@
+"""Requests that crash the backend servers which run them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from cassiahatch_kernel.exchanges import Call
+from cassiahatch_node.mesh.crash_watch import CrashWatch
+from cassiahatch_node.mesh.frames import ClearFrame, CrashFrame
+from cassiahatch_node.mesh.journal import Journal
+from cassiahatch_node.observability.metrics import Metrics
+from cassiahatch_policies.quarantine import Quarantine
+from mesh_site import Site, name_request, send
+from test_mesh import ROUTES, build, play
+
+
+class FakeClock:
+    """A clock that is set by hand."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+
+def make_call(path: str, instance: str = "i-1", request_id: str = "r") -> Call:
+    return Call(
+        request_id, "read", "GET", "h", path, b"", b"", "shop", instance,
+        1000.0, 500.0, 1, 1.5, True, True,
+    )  # fmt: skip
+
+
+def make_watch(clock: FakeClock) -> tuple[CrashWatch, list]:
+    watch = CrashWatch(Quarantine(), clock, Journal("n", Metrics(), 1))
+    sent: list = []
+    watch.spread = sent.append
+    return watch, sent
+
+
+HISTORIES = [
+    # what happened in turn: paths lost in a crash of an instance, or a path answered;
+    # the paths that are in quarantine in the end
+    ([("i-1", ["/a"]), ("i-2", ["/a"])], {"/a"}),
+    ([("i-1", ["/a", "/b"]), ("i-2", ["/a"])], {"/a"}),
+    ([("i-1", ["/a", "/b"]), ("i-2", ["/a", "/c"])], {"/a"}),
+    ([("i-1", ["/a"])], set()),
+    ([("i-1", ["/a", "/b"]), "/b", ("i-2", ["/a", "/b"])], {"/a"}),
+    ([("i-1", ["/a"]), "/a", ("i-2", ["/a"])], set()),
+    ([("i-1", ["/a"]), ("i-2", ["/a"]), "/a"], {"/a"}),
+]
+
+
+@pytest.mark.parametrize(("history", "expected"), HISTORIES)
+def test_two_crashes_without_an_answer_quarantine(
+    history: list[tuple[str, list[str]] | str], expected: set[str]
+) -> None:
+    clock = FakeClock()
+    watch, sent = make_watch(clock)
+    far, _ = make_watch(clock)
+    for step in history:
+        match step:
+            case str():
+                watch.note_answered(make_call(step))
+            case instance, paths:
+                for path in paths:
+                    watch.note_lost(make_call(path, instance))
+                watch.note_crash(instance, [])
+        clock.now += 4.0
+    for frame in sent:
+        far.take(frame)
+    for known in (watch, far):
+        held = {p for p in ("/a", "/b", "/c") if known.find_obstacle(make_call(p))}
+        assert held == expected
+    fresh, _ = make_watch(clock)
+    for frame in watch.list_frames():
+        fresh.take(frame)
+    assert {
+        p for p in ("/a", "/b", "/c") if fresh.find_obstacle(make_call(p))
+    } == expected, "a node that has just started learns of it"
+
+
+def test_old_losses_are_no_part_of_a_crash() -> None:
+    clock = FakeClock()
+    watch, sent = make_watch(clock)
+    watch.note_lost(make_call("/a"))
+    clock.now += 3.5
+    watch.note_crash("i-1", [])
+    assert sent == []
+    watch.note_crash("i-1", [make_call("/b")])
+    assert [type(frame) for frame in sent] == [CrashFrame]
+    watch.note_answered(make_call("/b"))
+    assert type(sent[-1]) is ClearFrame
+
+
+def test_a_request_that_crashes_servers_stops_at_two() -> None:
+    async def scene(site: Site) -> None:
+        await build(site, ["shop", "books", "books", "books", "books"])
+        books = [host.backend for host in site.hosts[1:]]
+        for backend in books:
+            backend.script = ["die"]
+        client = site.hosts[0].clients
+        for number in range(4):
+            answer = await send(client, "GET", "/read/bad", name_request(f"p{number}"))
+            assert answer.status in (502, 503)
+            await asyncio.sleep(0.1)
+        assert answer.status == 503
+        assert json.loads(answer.body)["error"] == "quarantined"
+        assert float(answer.headers["retry-after"]) >= 1
+        assert sum(len(backend.arrived) for backend in books) <= 3
+        for backend in books:
+            backend.script = []
+        good = await send(client, "GET", "/read/good", name_request("g"))
+        assert good.status == 200, "others go on"
+
+    play(scene)
+
+
+def test_a_request_that_only_ran_beside_is_not_held() -> None:
+    async def scene(site: Site) -> None:
+        site.configure(ROUTES)
+        for service in ("shop", "books", "books", "books"):
+            await site.add(service)
+        await site.settle()
+        books = [host.backend for host in site.hosts[1:]]
+        client = site.hosts[0].clients
+        for backend in books[:2]:
+            backend.work_s = 0.2
+            backend.script = ["die", "die", "die", "die"]
+        beside = [
+            asyncio.create_task(send(client, "GET", "/read/x", name_request(f"b{n}")))
+            for n in range(6)
+        ]
+        assert 200 in {answer.status for answer in await asyncio.gather(*beside)}
+        answer = await send(client, "GET", "/read/x", name_request("again"))
+        assert answer.status == 200
+
+    play(scene)
