Begin nothing more in the second half of a stop, and end only when nothing is under way

Cause: a stopping node went on taking requests from clients that kept coming, until a moment without any or the end of its time, and cut what had begun meanwhile. Change: after half of the grace time, or once all is quiet, top requests are answered 503 and calls from peers are turned away elsewhere; calls of running requests are still served; the listeners close last.

--- a/packages/node/src/cassiahatch_node/mesh/front.py
+++ b/packages/node/src/cassiahatch_node/mesh/front.py
@@ -22,6 +22,8 @@
 
 DEFAULT_PAUSE_S = 0.2
 """Pause asked of a refused caller where the refusal knows no better."""
+STOPPING_PAUSE_S = 1.5
+"""Pause asked of a caller while the node ends: until another process of it serves."""
 
 
 class Front:
@@ -50,6 +52,9 @@
         self._metrics = metrics
         self._journal = journal
         self._is_stopping = is_stopping
+        self.is_closed = False
+        """The node is about to end: top requests are refused, while the calls of
+        requests that the backend server runs are still served."""
 
     async def serve(self, connection: ClientConnection, raw: RawRequest) -> None:
         """Serve one request and write its answer."""
@@ -59,7 +64,10 @@
             self._journal.trace("bad_request", error=str(error))
             self.reject(connection, Reason.BAD_REQUEST)
             return
-        result = await self._egress.serve(request)
+        if self.is_closed and not request.parent:
+            result = Rejection(Reason.STOPPING, STOPPING_PAUSE_S)
+        else:
+            result = await self._egress.serve(request)
         if self._is_stopping():
             connection.closes = True
         self._note(request, result)
--- a/packages/node/src/cassiahatch_node/mesh/own_backend.py
+++ b/packages/node/src/cassiahatch_node/mesh/own_backend.py
@@ -48,6 +48,7 @@
         "_stops_at",
         "announcement",
         "cold_until",
+        "is_closed",
         "drain_s",
         "is_missing",
         "is_stopping",
@@ -63,6 +64,8 @@
         """It refused a connection, or another process has its address."""
         self.is_stopping = False
         """The node itself is stopping."""
+        self.is_closed = False
+        """The node is about to end and starts no more calls."""
 
     def take(self, news: Announcement, now: float) -> bool:
         """Take in an announcement, and tell whether it changed what is known.
@@ -107,6 +110,8 @@
     def find_obstacle(self, instance: str, now: float) -> Reason | None:
         """Return why a call for ``instance`` can't start now, or None if it can."""
         known = self.announcement
+        if self.is_closed:
+            return Reason.STOPPING
         if known is None or self.is_missing:
             return Reason.NO_BACKEND
         if known.instance != instance:
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -49,6 +49,9 @@
 GRACE_SHARE = 0.86
 """Share of the time before SIGKILL after which the node ends whatever is still under
 way; five sixths of it belong to the requests."""
+ACCEPT_SHARE = 0.5
+"""Share of the time before SIGKILL after which no more is begun: what comes later might
+not end in time."""
 PEER_NOTICE_S = 1.6
 """Time after SIGTERM in which peers still send calls for the backend server: what
 comes by then is mostly answered when the clients have gone."""
@@ -87,6 +90,7 @@
         self._stack = AsyncExitStack()
         self._stopping = asyncio.Event()
         self._limits = Limits()
+        self._servers: list[asyncio.Server] = []
         self._wire(journal_fd)
 
     def _wire(self, journal_fd: int | None) -> None:
@@ -143,7 +147,7 @@
             self._random,
             self.journal,
         )
-        peer_host, peer_port = split_address(node.peers)
+        peer_host, peer_port = split_address(node.advertised or node.peers)
         own = Member(
             node.id, peer_host, peer_port, node.zone, int(clock.wall() * MS_PER_S)
         )
@@ -286,6 +290,7 @@
         stack = self._stack
         server = await self._clients.listen(*split_address(node.clients), BACKLOG)
         stack.callback(server.close)
+        self._servers.append(server)
         loop = asyncio.get_running_loop()
         links = await loop.create_server(
             lambda: PeerConnection(self._links),
@@ -293,6 +298,7 @@
             backlog=BACKLOG,
         )
         stack.callback(links.close)
+        self._servers.append(links)
         service = ControlService(
             PLUGINS.create("announcements", self._settings.plugins.announcements),
             self.metrics,
@@ -318,9 +324,11 @@
         started = self._clock.monotonic()
         self.journal.note("stopping", open=self._count_open())
         self._clients.is_stopping = True
-        ends_at = started + self._settings.stopping.grace_s * GRACE_SHARE
+        grace_s = self._settings.stopping.grace_s
+        closes_at = started + grace_s * ACCEPT_SHARE
+        ends_at = started + grace_s * GRACE_SHARE
         quiet_since = started
-        while (now := self._clock.monotonic()) < ends_at:
+        while (now := self._clock.monotonic()) < closes_at:
             if now - started > PEER_NOTICE_S and not self.backend.is_stopping:
                 self.backend.is_stopping = True
                 self._announce_load()
@@ -329,8 +337,20 @@
             if now - started > NOTICE_S and now - quiet_since > QUIET_S:
                 break
             await asyncio.sleep(POLL_S)
+        await self._finish(ends_at)
         self.journal.note("stopped", open=self._count_open())
 
+    async def _finish(self, ends_at: float) -> None:
+        """Begin nothing more, and wait for what is under way."""
+        self.backend.is_stopping = self.backend.is_closed = True
+        self._front.is_closed = True
+        self._announce_load()
+        await asyncio.sleep(QUIET_S)
+        while self._count_open() and self._clock.monotonic() < ends_at:
+            await asyncio.sleep(POLL_S)
+        for server in self._servers:
+            server.close()
+
     async def _tick(self) -> None:
         while True:
             self._links.tick()
--- a/packages/node/src/cassiahatch_node/mesh/settings.py
+++ b/packages/node/src/cassiahatch_node/mesh/settings.py
@@ -36,6 +36,8 @@
     """The backend server."""
     metrics_port: Annotated[int, Meta(ge=0, le=65535)] = 0
     """Port of the metrics on the peers' address; 0 turns them off."""
+    advertised: HostPort | None = None
+    """Where other nodes reach ``peers``, if they need another address for it."""
 
 
 class StoreSection(Section):
--- a/tests/test_mesh_process.py
+++ b/tests/test_mesh_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import signal
@@ -53,6 +54,7 @@
             "metrics": str(find_port()),
             "grace": "6",
         }
+        self.site = site
         self.backend = backend
         self.child: asyncio.subprocess.Process | None = None
 
@@ -166,6 +168,50 @@
     play(scene, tmp_path)
 
 
+async def keep_asking(process: Process, name: str, lost: list[str]) -> None:
+    """Send one request after the other until the node is gone."""
+    for number in itertools.count():
+        request_id = f"{name}-{number}"
+        try:
+            await process.ask(request_id)
+        except ConnectionRefusedError:
+            return
+        except ConnectionError:
+            lost.append(request_id)
+
+
+@pytest.mark.parametrize("work_s", [0.0, 0.03, 0.4])
+def test_clients_that_go_on_until_the_end_lose_nothing(
+    work_s: float, tmp_path: Path
+) -> None:
+    async def scene(process: Process) -> None:
+        other = await process.site.add("books")
+        backends = process.backend, other.backend
+        while not other.backend.arrived:
+            await asyncio.gather(*(process.ask(f"w{number}") for number in range(8)))
+        for backend in backends:
+            backend.work_s = work_s
+        lost: list[str] = []
+        asking = [
+            asyncio.create_task(keep_asking(process, f"k{number}", lost))
+            for number in range(8)
+        ]
+        await asyncio.sleep(0.3)
+        process.child.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(7):
+            assert await process.child.wait() == 0
+        await asyncio.gather(*asking)
+        arrived = {
+            entry.message.headers["cassiahatch-request-id"]
+            for backend in backends
+            for entry in backend.arrived
+        }
+        assert not arrived & set(lost)
+        assert process.find("stopped")[-1]["open"] == 0
+
+    play(scene, tmp_path)
+
+
 def test_a_log_that_nobody_reads_costs_no_request(tmp_path: Path) -> None:
     async def scene(process: Process) -> None:
         process.backend.script = ["fail"] * 4000
