Let calls go by the age of their top request, and open the cutoff within a second

Where a whole route was refused no result came back, and after 0.6 s all of it was let in at once. Change: calls carry the age of their top request, and the queue's turns are earlier by it. A refused route is probed by single requests. The cutoff opens after two steps with a short wait, and takes its last value again if that was too soon.

--- a/packages/node/src/cassiahatch_node/mesh/call_graph.py
+++ b/packages/node/src/cassiahatch_node/mesh/call_graph.py
@@ -58,7 +58,8 @@
 
     def admits(self, route: str, position: float, now: float) -> bool:
         """Tell whether a top request at a position may be sent on."""
-        return position < self.read_path(route, now)
+        path = self._cutoffs.get(route)
+        return path is None or path.admits(position, now)
 
     def read_path(self, route: str, now: float) -> float:
         """Return the cutoff that results of a route report, open if none do."""
--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -59,6 +59,8 @@
     """Clock seconds at which it is given up."""
     rank: int
     position: float
+    root_at: float
+    """Clock seconds at which its top request was read."""
     refused_by: set[str] = field(default_factory=set)
     """Nodes that did not pass it on to their backend server."""
     sent_to: set[str] = field(default_factory=set)
@@ -148,11 +150,11 @@
     def _begin(
         self, request: Request, rule: RouteRule, table: RouteTable, patience_s: float
     ) -> Passage:
-        rank = rule.priority
+        rank, root_at = rule.priority, request.arrived
         parent = self._ingress.running.get(request.parent) if request.parent else None
         if parent is not None:
-            rank = parent.rank
-            self._graph.note_call(parent.route, rule.name)
+            rank, root_at = parent.call.rank, parent.root_at
+            self._graph.note_call(parent.call.route, rule.name)
         return Passage(
             request,
             rule,
@@ -160,6 +162,7 @@
             request.arrived + patience_s,
             rank,
             compute_position(rank, request.root),
+            root_at,
         )
 
     async def _pass(self, passage: Passage) -> Result:
@@ -268,6 +271,7 @@
             passage.position,
             not request.parent,
             rule.is_idempotent,
+            (now - passage.root_at) * MS_PER_S,
         )
 
     def _learn(self, place: Place, outcome: Result) -> None:
--- a/packages/node/src/cassiahatch_node/mesh/ingress.py
+++ b/packages/node/src/cassiahatch_node/mesh/ingress.py
@@ -31,7 +31,9 @@
 """Silence of a busy backend server after which a connection is tried: several times
 the mean work of the slowest route, at a third of the usual speed."""
 SWEEP_INTERVAL_S = 0.05
-"""How often calls that waited too long, and unused connections, are looked for."""
+"""How often calls that waited too long are looked for while any wait."""
+IDLE_SWEEP_INTERVAL_S = 0.1
+"""How often the cutoff and unused connections are looked at otherwise."""
 
 
 @dataclass(slots=True)
@@ -40,6 +42,8 @@
 
     call: Call
     reply: Callable[[Result], None]
+    root_at: float
+    """Clock seconds at which its top request was read."""
     line: BackendLine | None = None
     """The connection on which it runs."""
     is_withdrawn: bool = False
@@ -90,8 +94,8 @@
         self._lines: set[BackendLine] = set()
         self._heard_at = float("-inf")
         self._busy_since = float("-inf")
-        self.running: dict[str, Call] = {}
-        """Calls that the backend server runs, by id."""
+        self.running: dict[str, Arrival] = {}
+        """What the backend server runs, by the id of the call."""
         self.on_missing: Callable[[], None] = _ignore
 
     @property
@@ -107,12 +111,14 @@
     def make_job(self, call: Call, reply: Callable[[Result], None]) -> Job:
         """Return the job of a call that has just been received."""
         now = self._clock.monotonic()
+        age_s = call.age_ms / MS_PER_S
         return Job(
-            Arrival(call, reply),
+            Arrival(call, reply, now - age_s),
             call.rank,
             now + call.target_ms / MS_PER_S,
             now + call.remaining_ms / MS_PER_S,
             call.is_top,
+            age_s,
         )
 
     def accept(self, job: Job) -> None:
@@ -152,7 +158,8 @@
     async def sweep(self) -> None:
         """Reject what waited too long, and end unused connections, for ever."""
         while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
+            is_idle = not self._queue.waiting
+            await asyncio.sleep(IDLE_SWEEP_INTERVAL_S if is_idle else SWEEP_INTERVAL_S)
             now = self._clock.monotonic()
             self._cutoff.update(self._queue.estimate_wait_s(), now)
             for job in self._queue.drop_expired(now):
@@ -231,7 +238,7 @@
         arrival.line = line
         if not self.running:
             self._busy_since = self._clock.monotonic()
-        self.running[arrival.call.id] = arrival.call
+        self.running[arrival.call.id] = arrival
         obstacle = self._backend.find_obstacle(
             arrival.call.instance, self._clock.monotonic()
         )
@@ -277,7 +284,8 @@
         if not self._backend.is_missing:
             self._backend.is_missing = True
             self._journal.note("backend_missing", reason=reason)
-            self._crashes.note_crash(self._backend.instance, self.running.values())
+            running = [arrival.call for arrival in self.running.values()]
+            self._crashes.note_crash(self._backend.instance, running)
             self.on_missing()
 
     def _reject(self, arrival: Arrival, rejection: Rejection) -> None:
--- a/packages/policies/src/cassiahatch_policies/cutoff.py
+++ b/packages/policies/src/cassiahatch_policies/cutoff.py
@@ -26,9 +26,17 @@
 FAST_FACTOR = 2.0
 """Changes of the cutoff, in ranks: the fall is doubled when the wait is far beyond its
 bound, the rise with each step in a row, so that a second after the load all is open."""
+OPENING_STEPS = 2
+"""Steps in a row with a short wait after which all is let in."""
+RELAPSE_S = 2.0
+"""Time after that in which a long wait puts the last cutoff in force again at once."""
 HORIZON_S = 0.6
-"""Age at which a reported cutoff says nothing any more: the edge then lets requests
-in again, and hears of the cutoff if it still stands."""
+"""Age at which a reported cutoff is no longer sure: the edge then lets single requests
+in to hear of it."""
+PROBE_INTERVAL_S = 0.2
+"""Time between two such requests of a route at one node."""
+STALE_S = 2.0
+"""Age at which a reported cutoff says nothing any more."""
 SMOOTHING = 0.2
 """Weight of the newest report: results of one route come from several backend servers
 that do not share a cutoff."""
@@ -43,7 +51,15 @@
 class WaitCutoff:
     """Lowers the cutoff while the queue is long, and raises it while it is short."""
 
-    __slots__ = ("_idle_steps", "_last_wait_s", "_next_step_at", "_top", "value")
+    __slots__ = (
+        "_held",
+        "_idle_steps",
+        "_last_wait_s",
+        "_next_step_at",
+        "_opened_at",
+        "_top",
+        "value",
+    )
 
     def __init__(self) -> None:
         self.value = OPEN_CUTOFF
@@ -52,6 +68,8 @@
         self._next_step_at = float("-inf")
         self._idle_steps = 0
         self._last_wait_s = 0.0
+        self._held = OPEN_CUTOFF
+        self._opened_at = float("-inf")
 
     def note(self, position: float) -> None:
         """Take in the position of a request that arrived."""
@@ -69,17 +87,30 @@
             self._idle_steps = 0
             if is_easing:
                 return
+            if self._has_relapsed(now):
+                self.value = self._held
+                return
             step = DOWN_STEP * (FAST_FACTOR if wait_s > 3 * HIGH_WAIT_S else 1.0)
             start = min(self.value, self._top + UP_STEP)
             self.value = max(LEAST_CUTOFF, start - step)
         elif wait_s >= LOW_WAIT_S:
             self._idle_steps = 0
         elif self.value < OPEN_CUTOFF:
-            self.value += UP_STEP * FAST_FACTOR**self._idle_steps
             self._idle_steps += 1
-            if self.value > self._top + 1.0:
-                self.value = OPEN_CUTOFF
-                self._top = 0.0
+            if self._idle_steps >= OPENING_STEPS:
+                self._open(now)
+            else:
+                self.value += UP_STEP * FAST_FACTOR**self._idle_steps
+
+    def _open(self, now: float) -> None:
+        """Let all in, and remember what held until now in case it was too soon."""
+        self._held, self._opened_at = self.value, now
+        self.value = OPEN_CUTOFF
+        self._top = 0.0
+
+    def _has_relapsed(self, now: float) -> bool:
+        is_open = self.value == OPEN_CUTOFF
+        return is_open and now - self._opened_at < RELAPSE_S
 
 
 @dataclass(slots=True)
@@ -88,6 +119,7 @@
 
     value: float = OPEN_CUTOFF
     heard_at: float = float("-inf")
+    probed_at: float = float("-inf")
 
     def observe(self, cutoff: float, now: float) -> None:
         """Take in what a result carried."""
@@ -100,6 +132,20 @@
 
     def read(self, now: float) -> float:
         """Return the cutoff to apply now."""
-        if now - self.heard_at > HORIZON_S:
+        if now - self.heard_at > STALE_S:
             return OPEN_CUTOFF
         return self.value
+
+    def admits(self, position: float, now: float) -> bool:
+        """Tell whether a top request may be sent on.
+
+        Where all of a route is refused no result comes back: then one request at a
+        time is let in to hear of the cutoff, and not all of them until it is heard of.
+        """
+        if position < self.read(now):
+            return True
+        last = max(self.heard_at + HORIZON_S, self.probed_at + PROBE_INTERVAL_S)
+        if now < last:
+            return False
+        self.probed_at = now
+        return True
