Tell readers of other zones how far a reader is, and probe links that are used

A peer that took a connection and never greeted held the link for ever, found by reading. Change: beats also go to the first nodes of other zones, and a reader passes on what it learnt from them. Links are probed after 0.4 s with calls and after 5 s without; a probe has 0.6 s; a greeting 1 s. Less is done while nothing waits. Tests: readers that lost the store without a word (failed before), a peer that never greets.

--- a/packages/node/src/cassiahatch_node/mesh/journal.py
+++ b/packages/node/src/cassiahatch_node/mesh/journal.py
@@ -15,7 +15,7 @@
 
 from cassiahatch_node.observability.metrics import Metrics
 
-FLUSH_INTERVAL_S = 0.1
+FLUSH_INTERVAL_S = 0.25
 """How long a line may wait to be written."""
 LINES_PER_S = 200
 """Lines about requests that are written in a second; more are only counted."""
--- a/packages/node/src/cassiahatch_node/mesh/knowledge.py
+++ b/packages/node/src/cassiahatch_node/mesh/knowledge.py
@@ -155,7 +155,11 @@
         for value in news.members:
             self._learn(value)
         if news.members_since <= self.members_version < news.members_version:
-            self.members_version = news.members_version
+            since, self.members_version = self.members_version, news.members_version
+            if self._duty.is_set():
+                self._pass_on(
+                    NewsFrame(b"", 0, news.members, since, news.members_version)
+                )
         if news.members:
             self.on_members_read()
 
@@ -177,7 +181,7 @@
             routes=len(configuration.rules),
             origin=origin,
         )
-        if origin == FROM_STORE:
+        if self._duty.is_set():
             self._pass_on(NewsFrame(value, configuration.version))
         return True
 
--- a/packages/node/src/cassiahatch_node/mesh/link_out.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_out.py
@@ -33,12 +33,15 @@
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 """Pauses between attempts to connect, doubled with each."""
+GREETING_TIMEOUT_S = 1.0
+"""Longest time between a connection and the greeting of the peer."""
 PROBE_AFTER_S = 0.4
 """Silence on a link with calls under way after which it is probed."""
-SILENT_AFTER_S = 1.0
-"""Silence after which a probed link is given up."""
-IDLE_PROBE_S = 1.0
-"""Silence on an unused link after which it is probed."""
+PROBE_TIMEOUT_S = 0.6
+"""Time without an answer to a probe after which a link is given up."""
+IDLE_PROBE_S = 5.0
+"""Silence on an unused link after which it is probed: nobody waits on it, and a large
+fleet has thousands of them."""
 
 
 @dataclass(slots=True)
@@ -153,15 +156,17 @@
     def check(self, now: float) -> None:
         """Probe the link if it is silent; give it up if it stays so."""
         if not self.is_ready:
+            if self._transport and now - self._heard_at > GREETING_TIMEOUT_S:
+                self._transport.abort()
             return
-        silent_s = now - self._heard_at
-        if silent_s > SILENT_AFTER_S and self._probed_at > self._heard_at:
-            self._journal.note("link_silent", peer=self.node_id, silent_s=silent_s)
-            self._transport.abort()
-        elif silent_s > (PROBE_AFTER_S if self._pending else IDLE_PROBE_S):
-            if self._probed_at <= self._heard_at:
-                self._probed_at = now
-                self._send(ProbeFrame())
+        if self._probed_at > self._heard_at:
+            if now - self._probed_at > PROBE_TIMEOUT_S:
+                silent_s = round(now - self._heard_at, 3)
+                self._journal.note("link_silent", peer=self.node_id, silent_s=silent_s)
+                self._transport.abort()
+        elif now - self._heard_at > (PROBE_AFTER_S if self._pending else IDLE_PROBE_S):
+            self._probed_at = now
+            self._send(ProbeFrame())
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Greet the peer."""
--- a/packages/node/src/cassiahatch_node/mesh/readers.py
+++ b/packages/node/src/cassiahatch_node/mesh/readers.py
@@ -103,9 +103,28 @@
             self._journal.note("reader", is_reader=is_reader, ahead=ahead)
 
     def _beat(self) -> None:
+        """Show the own zone that it is read for, and other zones' readers how far.
+
+        A reader that is cut off from the store without a word learns from theirs that
+        it lacks something.
+        """
         frame = self._knowledge.make_reader_frame()
-        for link in self._directory.list_zone_links():
-            link.send_news(frame)
+        far = self._list_far_readers()
+        for link in self._directory.list_links():
+            is_near = self._directory.find_zone(link.node_id) == self._zone
+            if is_near or link.node_id in far:
+                link.send_news(frame)
+
+    def _list_far_readers(self) -> set[str]:
+        by_zone: dict[str, list[str]] = {}
+        for member in self._directory.members.values():
+            if member.zone != self._zone:
+                by_zone.setdefault(member.zone, []).append(member.node_id)
+        return {
+            node_id
+            for node_ids in by_zone.values()
+            for node_id in sorted(node_ids)[:READERS_PER_ZONE]
+        }
 
     def _ask_anyone(self) -> None:
         """Ask a peer for news, since the store can't be reached from here."""
--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import json
+import os
 import random
 import socket
 from contextlib import AsyncExitStack
@@ -21,11 +22,23 @@
 STAMP = "3e1b.07.5a2"
 
 
+PORTS = range(10_000, 32_000)
+"""Below the ports that the kernel gives to outgoing connections, any of which could
+take a port between its choice here and its use."""
+_source = random.Random(os.getpid())
+
+
 def find_port() -> int:
     """Return a port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    while True:
+        port = _source.choice(PORTS)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        return port
 
 
 @dataclass(slots=True)
--- a/tests/test_mesh_faults.py
+++ b/tests/test_mesh_faults.py
@@ -10,7 +10,17 @@
 import pytest
 
 from cassiahatch_kernel.exchanges import Reason
-from mesh_site import Reader, Site, name_request, render_request, send
+from cassiahatch_kernel.members import Member, MemberState
+from cassiahatch_node.mesh.knowledge import encode_member
+from mesh_site import (
+    HOST,
+    Reader,
+    Site,
+    find_port,
+    name_request,
+    render_request,
+    send,
+)
 from test_mesh import ROUTES, build, play
 
 Scene = Callable[[Site], Awaitable[None]]
@@ -44,6 +54,24 @@
     assert (await host.control("GET", "/v1/readiness")).status == 200
 
 
+@scene
+async def a_peer_that_never_greets_is_tried_again(site: Site) -> None:
+    await build(site, ["shop", "books"])
+    taken = []
+    port = find_port()
+    server = await asyncio.start_server(
+        lambda reader, writer: taken.append(writer), HOST, port
+    )
+    mute = Member("n9", HOST, port, "z1", 1, 1, MemberState.READY, "maps", 4)
+    site.store.put("members", "n9", encode_member(mute))
+    async with asyncio.timeout(5):
+        while len(taken) < 4:
+            await asyncio.sleep(0.05)
+    server.close()
+    for writer in taken:
+        writer.transport.abort()
+
+
 @scene
 async def an_unknown_route_is_404_only_with_a_configuration(site: Site) -> None:
     await build(site, ["shop"])
--- a/tests/test_mesh_readers.py
+++ b/tests/test_mesh_readers.py
@@ -106,6 +106,25 @@
     play(scene)
 
 
+def test_readers_that_lost_the_store_without_a_word_follow_other_zones() -> None:
+    async def scene(site: Site) -> None:
+        await build_zones(site, ["z1", "z1", "z1", "z2"])
+        for host in site.hosts[:READERS_PER_ZONE]:
+            host.sidecar.knowledge._store = DeafStore()
+        for _ in range(2):
+            site.configure(ROUTES)
+            await wait_in_force(site)
+
+    play(scene)
+
+
+class DeafStore:
+    """A store whose answers never come."""
+
+    async def follow_table(self, table: str, since: int, wait_s: float) -> None:
+        await asyncio.sleep(60)
+
+
 def test_a_silent_connection_to_the_store_ends_within_the_bound() -> None:
     with socket.socket() as connection:
         watch_connection(connection.fileno(), 0)
