Log a span for each hop of sampled requests, and look for a crash as soon as a call is lost

Cause: sidecars had no spans. A crash was only known when the next call was refused, so a request that crashes what runs it reached four backend servers in one full run of the tests where two to three are the design (test_a_request_that_crashes_servers_stops_at_two failed once; traced: no call came to the dead backend servers in between). Change: spans.share samples requests by digits of their position, the same ones at every node; lines hop=request, send, backend. After a lost call a bare connection tells at once, and at most each 0.5 s, whether the backend server still listens; only a refusal counts. An answer ends a quarantine: what it ran has crashed nothing.

--- a/packages/node/src/cassiahatch_node/mesh/backend_client.py
+++ b/packages/node/src/cassiahatch_node/mesh/backend_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum, auto
 from types import TracebackType
 
 import httptools
@@ -162,16 +163,27 @@
             self._responses.append(response)
 
 
-async def probe_backend(host: str, port: int) -> bool:
+class BackendSign(Enum):
+    """What a connection that carries nothing tells of the backend server."""
+
+    ALIVE = auto()
+    REFUSED = auto()
+    """Nobody listens at its address."""
+    SILENT = auto()
+
+
+async def probe_backend(host: str, port: int) -> BackendSign:
     """Tell whether the backend server takes a connection."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_S):
             transport, _ = await loop.create_connection(asyncio.Protocol, host, port)
+    except ConnectionRefusedError:
+        return BackendSign.REFUSED
     except OSError:
-        return False
+        return BackendSign.SILENT
     transport.abort()
-    return True
+    return BackendSign.ALIVE
 
 
 class BackendLine:
--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -25,6 +25,7 @@
 from cassiahatch_node.mesh.directory import Directory
 from cassiahatch_node.mesh.ingress import Ingress
 from cassiahatch_node.mesh.journal import Journal
+from cassiahatch_node.mesh.spans import Hop, Spans, name_result
 from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_policies.placement import Place, is_grey
 from cassiahatch_policies.positions import compute_position
@@ -101,9 +102,11 @@
         graph: CallGraph,
         crashes: CrashWatch,
         random_source: random.Random,
+        spans: Spans,
         metrics: Metrics,
         journal: Journal,
     ) -> None:
+        self._spans = spans
         self._random = random_source
         self._own_id = own_id
         self._clock = clock
@@ -145,7 +148,11 @@
             )
             return Rejection(Reason.EDGE_OVERLOAD, pause_s)
         self._budget.note_request(passage.service, request.arrived)
-        return await self._pass(passage)
+        result = await self._pass(passage)
+        if self._spans.covers(passage.position):
+            spent_s = self._clock.monotonic() - request.arrived
+            self._spans.write(Hop.REQUEST, request.id, spent_s, result, route=rule.name)
+        return result
 
     def _begin(
         self, request: Request, rule: RouteRule, table: RouteTable, patience_s: float
@@ -180,7 +187,7 @@
                 "sent_again",
                 request=passage.request.id,
                 service=passage.service,
-                after=_name_outcome(outcome),
+                after=name_result(outcome),
                 node=place.node_id,
             )
         return result
@@ -203,6 +210,11 @@
             outcome = await self._send(passage, member, now)
         finally:
             place.in_flight -= 1
+        if self._spans.covers(passage.position):
+            spent_s = self._clock.monotonic() - now
+            self._spans.write(
+                Hop.SEND, passage.request.id, spent_s, outcome, to=place.node_id
+            )
         self._learn(place, outcome)
         _note_attempt(passage, place.node_id, outcome)
         return outcome
@@ -347,14 +359,6 @@
             return outcome
 
 
-def _name_outcome(outcome: Result) -> str:
-    match outcome:
-        case Reply(status=status):
-            return str(status)
-        case _:
-            return outcome.reason
-
-
 def _note_attempt(passage: Passage, node_id: str, outcome: Result) -> None:
     match outcome:
         case Rejection(reason=Reason.SHED):
--- a/packages/node/src/cassiahatch_node/mesh/ingress.py
+++ b/packages/node/src/cassiahatch_node/mesh/ingress.py
@@ -17,10 +17,11 @@
     Reply,
     Result,
 )
-from cassiahatch_node.mesh.backend_client import BackendLine
+from cassiahatch_node.mesh.backend_client import BackendLine, BackendSign
 from cassiahatch_node.mesh.crash_watch import CrashWatch
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.own_backend import OwnBackend
+from cassiahatch_node.mesh.spans import Hop, Spans
 from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_policies.slot_queue import Job
 
@@ -30,6 +31,8 @@
 SILENT_AFTER_S = 0.8
 """Silence of a busy backend server after which a connection is tried: several times
 the mean work of the slowest route, at a third of the usual speed."""
+CRASH_LOOK_INTERVAL_S = 0.5
+"""Least time between two connections that find out whether a lost call was a crash."""
 SWEEP_INTERVAL_S = 0.05
 """How often calls that waited too long are looked for while any wait."""
 IDLE_SWEEP_INTERVAL_S = 0.1
@@ -75,8 +78,9 @@
         queue: Any,
         cutoff: Any,
         create_line: Callable[[], BackendLine],
-        probe: Callable[[], Awaitable[bool]],
+        probe: Callable[[], Awaitable[BackendSign]],
         crashes: CrashWatch,
+        spans: Spans,
         metrics: Metrics,
         journal: Journal,
     ) -> None:
@@ -87,6 +91,7 @@
         self._create_line = create_line
         self._probe = probe
         self._crashes = crashes
+        self._spans = spans
         self._metrics = metrics
         self._journal = journal
         self._idle: list[tuple[asyncio.Future[Job], BackendLine]] = []
@@ -94,6 +99,7 @@
         self._lines: set[BackendLine] = set()
         self._heard_at = float("-inf")
         self._busy_since = float("-inf")
+        self._looked_at = float("-inf")
         self.running: dict[str, Arrival] = {}
         """What the backend server runs, by the id of the call."""
         self.on_missing: Callable[[], None] = _ignore
@@ -178,7 +184,7 @@
                 SILENT_AFTER_S
             ):
                 continue
-            if await self._probe():
+            if await self._probe() is BackendSign.ALIVE:
                 self._heard_at = self._clock.monotonic()
             elif self.running:
                 self._note_missing("silent")
@@ -256,6 +262,15 @@
             self._queue.finish(job, now, isinstance(result, Reply))
         self._metrics.sample("backend", now - job.started_at)
         self._metrics.sample("queue", job.started_at - job.queued_at)
+        if self._spans.covers(arrival.call.position):
+            self._spans.write(
+                Hop.BACKEND,
+                arrival.call.id,
+                now - job.queued_at,
+                result,
+                queue_s=round(job.started_at - job.queued_at, 5),
+                instance=arrival.call.instance,
+            )
         self._learn(arrival, result)
         if not arrival.is_withdrawn:
             arrival.reply(result)
@@ -271,6 +286,7 @@
             case Rejection() | Lost():
                 if result.reason is Reason.BACKEND_LOST and not arrival.is_withdrawn:
                     self._crashes.note_lost(arrival.call)
+                    self._look_for_crash()
                 self._metrics.count(f"backend_failures:{result.reason}")
                 self._journal.trace(
                     "backend_failed",
@@ -280,6 +296,20 @@
                     withdrawn=arrival.is_withdrawn,
                 )
 
+    def _look_for_crash(self) -> None:
+        """Find out soon whether a lost call means that the backend server is gone."""
+        now = self._clock.monotonic()
+        if now - self._looked_at < CRASH_LOOK_INTERVAL_S or self._backend.is_missing:
+            return
+        self._looked_at = now
+        task = asyncio.get_running_loop().create_task(self._check_listening())
+        self._workers.add(task)
+        task.add_done_callback(self._forget_worker)
+
+    async def _check_listening(self) -> None:
+        if await self._probe() is BackendSign.REFUSED:
+            self._note_missing("refused")
+
     def _note_missing(self, reason: str) -> None:
         if not self._backend.is_missing:
             self._backend.is_missing = True
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -34,6 +34,7 @@
 from cassiahatch_node.mesh.registration import Registration
 from cassiahatch_node.mesh.settings import MeshSettings, split_address
 from cassiahatch_node.mesh.settings_watch import SettingsWatch
+from cassiahatch_node.mesh.spans import Spans
 from cassiahatch_node.observability.metrics import Metrics
 
 BACKLOG = 512
@@ -109,6 +110,7 @@
         cutoff = PLUGINS.create("cutoff", plugins.cutoff)
         self.graph = CallGraph(clock, lambda: cutoff.value)
         self.backend = OwnBackend(settings.stopping.drain_s - DRAIN_MARGIN_S)
+        self.spans = Spans(settings.spans.share, self.journal)
         crashes = CrashWatch(
             PLUGINS.create("quarantine", plugins.quarantine), clock, self.journal
         )
@@ -121,6 +123,7 @@
             lambda: BackendLine(backend_host, backend_port, dialect, clock.monotonic),
             lambda: probe_backend(backend_host, backend_port),
             crashes,
+            self.spans,
             self.metrics,
             self.journal,
         )
@@ -179,6 +182,7 @@
             self.graph,
             crashes,
             self._random,
+            self.spans,
             self.metrics,
             self.journal,
         )
@@ -255,6 +259,7 @@
         """Put changed settings in force, but for addresses and plug-ins."""
         self._settings = settings
         self.backend.drain_s = settings.stopping.drain_s - DRAIN_MARGIN_S
+        self.spans.share = settings.spans.share
         retries = settings.retries
         self.budget.change_bounds(retries.ratio, retries.slack, retries.window_s)
 
--- a/packages/node/src/cassiahatch_node/mesh/settings.py
+++ b/packages/node/src/cassiahatch_node/mesh/settings.py
@@ -70,6 +70,13 @@
     window_s: Seconds = 10.0
 
 
+class SpanSection(Section):
+    """Spans of requests, as log lines."""
+
+    share: Ratio = 0.0
+    """Share of the top requests that are sampled; the same on every node."""
+
+
 class PluginSection(Section):
     """Names of the plug-ins to use."""
 
@@ -91,6 +98,7 @@
     store: StoreSection
     stopping: StoppingSection = StoppingSection()
     retries: RetrySection = RetrySection()
+    spans: SpanSection = SpanSection()
     plugins: PluginSection = PluginSection()
 
 
--- a/packages/policies/src/cassiahatch_policies/quarantine.py
+++ b/packages/policies/src/cassiahatch_policies/quarantine.py
@@ -107,13 +107,10 @@
     def clear(self, fingerprint: str) -> bool:
         """Drop a suspect that was answered, and tell whether it was one.
 
-        One that is in quarantine stays there.
+        An answer also ends a quarantine: a run that was under way when the second crash
+        became known has shown that the request crashes nothing.
         """
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None or len(suspect.crashes) >= CRASHES_TO_QUARANTINE:
-            return False
-        del self._suspects[fingerprint]
-        return True
+        return self._suspects.pop(fingerprint, None) is not None
 
     @property
     def has_suspects(self) -> bool:
--- /dev/null
+++ b/tests/test_mesh_spans.py
@@ -0,0 +1,60 @@
+"""Spans of sampled requests."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from cassiahatch_node.mesh.journal import Journal
+from cassiahatch_node.mesh.spans import Spans
+from cassiahatch_node.observability.metrics import Metrics
+from cassiahatch_policies.positions import compute_position
+from mesh_site import Site, name_request, send
+from test_mesh import build
+
+
+@pytest.mark.parametrize("share", [0.0, 0.1, 0.5, 1.0])
+def test_the_same_share_of_all_ranks_is_sampled_everywhere(share: float) -> None:
+    spans = Spans(share, Journal("n", Metrics(), 1))
+    for rank in (0, 2):
+        positions = [compute_position(rank, f"r{number}") for number in range(2000)]
+        found = [spans.covers(position) for position in positions]
+        assert abs(sum(found) / len(found) - share) < 0.05
+        low = [p for p in positions if p - rank < 0.3]
+        assert abs(sum(map(spans.covers, low)) / len(low) - share) < 0.1
+
+
+@pytest.mark.parametrize(
+    ("share", "hops"), [(0.0, []), (1.0, ["backend", "send", "request"])]
+)
+def test_each_hop_of_a_sampled_request_has_a_span(
+    share: float, hops: list[str], tmp_path: Path
+) -> None:
+    log = tmp_path / "log"
+
+    async def run() -> None:
+        descriptor = os.open(log, os.O_WRONLY | os.O_CREAT)
+        try:
+            async with asyncio.timeout(20), Site(descriptor) as site:
+                site.span_share = share
+                await build(site, ["shop", "books"])
+                client = site.hosts[0].clients
+                answer = await send(client, "GET", "/read/1", name_request("r1"))
+                assert answer.status == 200
+        finally:
+            os.close(descriptor)
+
+    uvloop.run(run())
+    lines = map(json.loads, log.read_text().splitlines())
+    spans = [line for line in lines if line["event"] == "span"]
+    spans.sort(key=lambda line: line["at"])
+    assert [line["hop"] for line in spans] == hops
+    assert {line["request"] for line in spans} <= {"r1"}
+    assert {line["outcome"] for line in spans} <= {"200"}
+    lengths = [line["spent_s"] for line in spans]
+    assert lengths == sorted(lengths), "a hop lasts as long as those inside it"
