Show what a run looked like from the nodes' logs

Cause: an engineer with only logs could explain one request, and had no view of a whole run: which reasons, when, beside which store outage, configuration or restart.

--- a/packages/operator/src/cassiahatch_operator/commands.py
+++ b/packages/operator/src/cassiahatch_operator/commands.py
@@ -31,6 +31,7 @@
 from cassiahatch_operator.explanation import explain, read_records
 from cassiahatch_operator.fleet import FleetView, Unreachable
 from cassiahatch_operator.lists import read_base_version, read_lists, write_lists
+from cassiahatch_operator.report import build_report, draw_report
 from cassiahatch_operator.settings import OperatorSettings
 
 CHANGE_ID_BYTES = 8
@@ -43,6 +44,12 @@
     code = "unreadable_log_file"
 
 
+class BadWidthError(CodedError):
+    """The rows of a report can't have this width."""
+
+    code = "bad_width"
+
+
 class Exit(IntEnum):
     """Exit statuses."""
 
@@ -224,3 +231,22 @@
     else:
         output.print_explanation(explanation)
     return Exit.OK if explanation.steps else Exit.FAILED
+
+
+def report_run(
+    files: list[Path], width_s: float, picture: Path | None, as_json: bool
+) -> Exit:
+    """Print what a run looked like, and draw it if a file is named."""
+    if not width_s > 0:
+        raise BadWidthError(f"{width_s} s")
+    try:
+        report = build_report(read_records(files), width_s)
+    except OSError as error:
+        raise LogFileError(f"{error.filename}: {error.strerror}") from None
+    if as_json:
+        output.print_json(report)
+    else:
+        output.print_report(report)
+    if picture is not None:
+        draw_report(report, picture)
+    return Exit.OK if report.buckets else Exit.FAILED
--- a/packages/operator/src/cassiahatch_operator/explanation.py
+++ b/packages/operator/src/cassiahatch_operator/explanation.py
@@ -15,6 +15,9 @@
 """Joins the id of a request and that of a call made while it runs."""
 STEP_FIELDS = ("at", "node", "event", "request")
 
+HARMLESS = ("sent_again", "span")
+"""Events that tell of a request's way, not of a failure."""
+
 CAUSES = {
     Reason.BAD_REQUEST: "the request lacks what every request must bear",
     Reason.HEADERS_TOO_LARGE: "the headers exceed the configured limit",
@@ -114,7 +117,9 @@
     """Return the deepest failure: what lies above it only follows from it."""
     if not steps:
         return "no log line names it: it was answered, or its lines were left out"
-    failures = [step for step in steps if step.event != "sent_again"] or steps
+    failures = [step for step in steps if step.event not in HARMLESS]
+    if not failures:
+        return "no failure is logged: it was answered"
     deepest = max(
         failures, key=lambda step: (step.request.count(CALL_SEPARATOR), -step.at)
     )
--- a/packages/operator/src/cassiahatch_operator/main.py
+++ b/packages/operator/src/cassiahatch_operator/main.py
@@ -110,6 +110,25 @@
     ] = field(default_factory=list)
 
 
+@cappa.command(
+    description=(
+        "Reads log files, or standard input without any, and shows what did not end "
+        f"well over time. {EXITS}"
+    )
+)
+@dataclass(slots=True)
+class Report:
+    """What a run looked like, from the log lines of the nodes."""
+
+    files: Annotated[
+        list[Path], cappa.Arg(help="Log files, one JSON object a line.")
+    ] = field(default_factory=list)
+    width: Annotated[float, cappa.Arg(long=True, help="Seconds a row.")] = 1.0
+    picture: Annotated[
+        Path | None, cappa.Arg(long=True, help="Picture file to draw, such as a PNG.")
+    ] = None
+
+
 @cappa.command(
     name="cassiahatch",
     help="Edit the plan lists of a fleet and watch them take effect.",
@@ -119,7 +138,7 @@
 class Command:
     """The command line."""
 
-    subcommand: cappa.Subcommands[Plans | Status | Trace | Explain]
+    subcommand: cappa.Subcommands[Plans | Status | Trace | Explain | Report]
     settings: Annotated[
         Path, cappa.Arg(long=True, help="Settings file in TOML.", propagate=True)
     ] = DEFAULT_SETTINGS
@@ -148,6 +167,8 @@
             return commands.check_lists_folder(folder, command.json)
         case Explain(id=wanted, files=files):
             return commands.explain_request(wanted, files, command.json)
+        case Report(files=files, width=width, picture=picture):
+            return commands.report_run(files, width, picture, command.json)
         case _:
             return asyncio.run(_start(command))
 
--- a/packages/operator/src/cassiahatch_operator/output.py
+++ b/packages/operator/src/cassiahatch_operator/output.py
@@ -14,6 +14,7 @@
 from cassiahatch_operator.categories import CATEGORIES
 from cassiahatch_operator.explanation import Explanation
 from cassiahatch_operator.fleet import Unreachable
+from cassiahatch_operator.report import Report
 
 WIDTH = 120
 NS_PER_MS = 1_000_000
@@ -122,6 +123,35 @@
     return table
 
 
+def print_report(report: Report) -> None:
+    """Print a row a bucket: what did not end well, queues, versions, events."""
+    table = _make_table(
+        "second", "not served", "queue", "cutoff", "version", "events", "left out"
+    )
+    first = report.buckets[0].begin if report.buckets else 0.0
+    for bucket in report.buckets:
+        version = ""
+        if bucket.newest_version:
+            version = f"{bucket.newest_version} on {bucket.nodes_with_version}"
+        cutoff = bucket.lowest_cutoff
+        table.add_row(
+            f"{bucket.begin - first:g}",
+            _list_counts(bucket.endings),
+            str(bucket.longest_queue or ""),
+            "" if cutoff is None else f"{cutoff:.2f}",
+            version,
+            _list_counts(bucket.life),
+            str(bucket.left_out or ""),
+        )
+    Console(width=WIDTH).print(table)
+    if report.unread_lines:
+        print(f"{report.unread_lines} lines could not be read")
+
+
+def _list_counts(counts: Counter[str]) -> str:
+    return ", ".join(f"{name} {count}" for name, count in counts.most_common())
+
+
 def print_explanation(explanation: Explanation) -> None:
     """Print the steps of a request, and what they come down to."""
     table = _make_table("after ms", "node", "event", "request", "details")
