--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 from cassiahatch_kernel.clock import Clock
@@ -25,6 +24,7 @@
 from cassiahatch_node.mesh.directory import Directory
 from cassiahatch_node.mesh.ingress import Ingress
 from cassiahatch_node.mesh.journal import Journal
+from cassiahatch_node.mesh.passages import Passage, combine_results
 from cassiahatch_node.mesh.spans import Hop, Spans, name_result
 from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_policies.placement import Place, is_grey
@@ -49,26 +49,6 @@
 """Time that must be left for a request to be sent once more."""
 
 
-@dataclass(slots=True)
-class Passage:
-    """A request on its way."""
-
-    request: Request
-    rule: RouteRule
-    service: str
-    expires_at: float
-    """Clock seconds at which it is given up."""
-    rank: int
-    position: float
-    root_at: float
-    """Clock seconds at which its top request was read."""
-    refused_by: set[str] = field(default_factory=set)
-    """Nodes that did not pass it on to their backend server."""
-    sent_to: set[str] = field(default_factory=set)
-    """Nodes whose backend server had it, whether it ran it or not."""
-    may_have_run: bool = False
-
-
 class Egress:
     """Sends requests to backend servers, again where that is safe.
 
@@ -216,7 +196,7 @@
                 Hop.SEND, passage.request.id, spent_s, outcome, to=place.node_id
             )
         self._learn(place, outcome)
-        _note_attempt(passage, place.node_id, outcome)
+        passage.note_attempt(place.node_id, outcome)
         return outcome
 
     async def _send(self, passage: Passage, member: Member, now: float) -> Result:
@@ -340,31 +320,3 @@
 def _expire(future: asyncio.Future[Result]) -> None:
     if not future.done():
         future.set_result(Lost(Reason.DEADLINE))
-
-
-def combine_results(before: Result, outcome: Result, may_have_run: bool) -> Result:
-    """Return what is true after one more attempt.
-
-    A failure that was answered stays the answer, and what may have run once is never
-    again called not run.
-    """
-    match before, outcome:
-        case _, Reply():
-            return outcome
-        case Reply(), _:
-            return before
-        case _, Rejection() if may_have_run:
-            return Lost(outcome.reason)
-        case _:
-            return outcome
-
-
-def _note_attempt(passage: Passage, node_id: str, outcome: Result) -> None:
-    match outcome:
-        case Rejection(reason=Reason.SHED):
-            passage.sent_to.add(node_id)
-        case Rejection():
-            passage.refused_by.add(node_id)
-        case _:
-            passage.sent_to.add(node_id)
-            passage.may_have_run = True
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/mesh/passages.py
@@ -0,0 +1,56 @@
+"""A request on its way, and what is true of it after each attempt."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from cassiahatch_kernel.exchanges import Lost, Reason, Rejection, Reply, Request, Result
+from cassiahatch_kernel.routes import RouteRule
+
+
+@dataclass(slots=True)
+class Passage:
+    """A request on its way."""
+
+    request: Request
+    rule: RouteRule
+    service: str
+    expires_at: float
+    """Clock seconds at which it is given up."""
+    rank: int
+    position: float
+    root_at: float
+    """Clock seconds at which its top request was read."""
+    refused_by: set[str] = field(default_factory=set)
+    """Nodes that did not pass it on to their backend server."""
+    sent_to: set[str] = field(default_factory=set)
+    """Nodes whose backend server had it, whether it ran it or not."""
+    may_have_run: bool = False
+
+    def note_attempt(self, node_id: str, outcome: Result) -> None:
+        """Take in how an attempt at a node ended."""
+        match outcome:
+            case Rejection(reason=Reason.SHED):
+                self.sent_to.add(node_id)
+            case Rejection():
+                self.refused_by.add(node_id)
+            case _:
+                self.sent_to.add(node_id)
+                self.may_have_run = True
+
+
+def combine_results(before: Result, outcome: Result, may_have_run: bool) -> Result:
+    """Return what is true after one more attempt.
+
+    A failure that was answered stays the answer, and what may have run once is never
+    again called not run.
+    """
+    match before, outcome:
+        case _, Reply():
+            return outcome
+        case Reply(), _:
+            return before
+        case _, Rejection() if may_have_run:
+            return Lost(outcome.reason)
+        case _:
+            return outcome
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -35,6 +35,7 @@
 from cassiahatch_node.mesh.settings import MeshSettings, split_address
 from cassiahatch_node.mesh.settings_watch import SettingsWatch
 from cassiahatch_node.mesh.spans import Spans
+from cassiahatch_node.mesh.stopping import GracefulStop
 from cassiahatch_node.observability.metrics import Metrics
 
 BACKLOG = 512
@@ -42,26 +43,11 @@
 time that the node needs to wake."""
 TICK_S = 0.2
 """How often the event loop shows that it runs."""
-NOTICE_S = 2.3
-"""Time after SIGTERM in which clients still come: they ask once a second whether the
-node is ready and stay away after two misses."""
-QUIET_S = 0.2
-"""How long nothing must be under way before the node ends."""
-GRACE_SHARE = 0.86
-"""Share of the time before SIGKILL after which the node ends whatever is still under
-way; five sixths of it belong to the requests."""
-ACCEPT_SHARE = 0.5
-"""Share of the time before SIGKILL after which no more is begun: what comes later might
-not end in time."""
-PEER_NOTICE_S = 1.6
-"""Time after SIGTERM in which peers still send calls for the backend server: what
-comes by then is mostly answered when the clients have gone."""
 DRAIN_MARGIN_S = 0.5
 """How long before the bound a leaving backend server gets its last call."""
 GC_THRESHOLDS = (20_000, 20, 100)
 """Allocations between collections: a call makes some dozens of objects, nearly all
 freed by their counts."""
-POLL_S = 0.05
 MS_PER_S = 1000
 
 
@@ -320,41 +306,19 @@
             stack.callback(control.stop)
 
     async def stop(self) -> None:
-        """Finish what is under way, and keep what still comes out or serve it.
-
-        The backend server goes on running, so peers may send it calls for as long as
-        there is time to answer them.
-        """
+        """Finish what is under way, and keep what still comes out or serve it."""
         self._stopping.set()
-        started = self._clock.monotonic()
-        self.journal.note("stopping", open=self._count_open())
         self._clients.is_stopping = True
-        grace_s = self._settings.stopping.grace_s
-        closes_at = started + grace_s * ACCEPT_SHARE
-        ends_at = started + grace_s * GRACE_SHARE
-        quiet_since = started
-        while (now := self._clock.monotonic()) < closes_at:
-            if now - started > PEER_NOTICE_S and not self.backend.is_stopping:
-                self.backend.is_stopping = True
-                self._announce_load()
-            if self._count_open():
-                quiet_since = now
-            if now - started > NOTICE_S and now - quiet_since > QUIET_S:
-                break
-            await asyncio.sleep(POLL_S)
-        await self._finish(ends_at)
-        self.journal.note("stopped", open=self._count_open())
-
-    async def _finish(self, ends_at: float) -> None:
-        """Begin nothing more, and wait for what is under way."""
-        self.backend.is_stopping = self.backend.is_closed = True
-        self._front.is_closed = True
-        self._announce_load()
-        await asyncio.sleep(QUIET_S)
-        while self._count_open() and self._clock.monotonic() < ends_at:
-            await asyncio.sleep(POLL_S)
-        for server in self._servers:
-            server.close()
+        await GracefulStop(
+            self._settings.stopping.grace_s,
+            self.backend,
+            self._front,
+            self._servers,
+            self._count_open,
+            self._announce_load,
+            self._clock,
+            self.journal,
+        ).run()
 
     async def _tick(self) -> None:
         while True:
--- a/tests/test_mesh_policies.py
+++ b/tests/test_mesh_policies.py
@@ -20,8 +20,8 @@
     Result,
 )
 from cassiahatch_kernel.routes import Divider, Limits, Part, RouteRule, RouteTable
-from cassiahatch_node.mesh.egress import combine_results
 from cassiahatch_node.mesh.own_backend import Announcement, BackendState, OwnBackend
+from cassiahatch_node.mesh.passages import combine_results
 from cassiahatch_policies.cutoff import PathCutoff, WaitCutoff
 from cassiahatch_policies.placement import Place, ZoneWaitPlacement
 from cassiahatch_policies.positions import compute_position
