--- a/packages/kernel/src/cassiahatch_kernel/exchanges.py
+++ b/packages/kernel/src/cassiahatch_kernel/exchanges.py
@@ -84,8 +84,9 @@
     is_top: bool
     """Made by a client, not by a backend server during a run."""
     is_idempotent: bool
-    age_ms: float = 0.0
-    """Milliseconds since the top request was read, counted at the moment of sending."""
+    root_target_ms: float = 0.0
+    """Milliseconds until the answer to the top request loses part of its worth, counted
+    at the moment of sending; negative once it has."""
 
 
 class Reply(msgspec.Struct, array_like=True, tag=1, frozen=True):
--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -137,10 +137,11 @@
     def _begin(
         self, request: Request, rule: RouteRule, table: RouteTable, patience_s: float
     ) -> Passage:
-        rank, root_at = rule.priority, request.arrived
+        rank = rule.priority
+        root_target_at = request.arrived + rule.target_latency_s
         parent = self._ingress.running.get(request.parent) if request.parent else None
         if parent is not None:
-            rank, root_at = parent.call.rank, parent.root_at
+            rank, root_target_at = parent.call.rank, parent.root_target_at
             self._graph.note_call(parent.call.route, rule.name)
         return Passage(
             request,
@@ -149,7 +150,7 @@
             request.arrived + patience_s,
             rank,
             compute_position(rank, request.root),
-            root_at,
+            root_target_at,
         )
 
     async def _pass(self, passage: Passage) -> Result:
@@ -263,7 +264,7 @@
             passage.position,
             not request.parent,
             rule.is_idempotent,
-            (now - passage.root_at) * MS_PER_S,
+            (passage.root_target_at - now) * MS_PER_S,
         )
 
     def _learn(self, place: Place, outcome: Result) -> None:
--- a/packages/node/src/cassiahatch_node/mesh/ingress.py
+++ b/packages/node/src/cassiahatch_node/mesh/ingress.py
@@ -45,8 +45,9 @@
 
     call: Call
     reply: Callable[[Result], None]
-    root_at: float
-    """Clock seconds at which its top request was read."""
+    root_target_at: float
+    """Clock seconds after which the answer to its top request loses part of its
+    worth."""
     line: BackendLine | None = None
     """The connection on which it runs."""
     is_withdrawn: bool = False
@@ -117,14 +118,14 @@
     def make_job(self, call: Call, reply: Callable[[Result], None]) -> Job:
         """Return the job of a call that has just been received."""
         now = self._clock.monotonic()
-        age_s = call.age_ms / MS_PER_S
+        root_target_at = now + call.root_target_ms / MS_PER_S
         return Job(
-            Arrival(call, reply, now - age_s),
+            Arrival(call, reply, root_target_at),
             call.rank,
             now + call.target_ms / MS_PER_S,
             now + call.remaining_ms / MS_PER_S,
             call.is_top,
-            age_s,
+            root_target_at,
         )
 
     def accept(self, job: Job) -> None:
--- a/packages/node/src/cassiahatch_node/mesh/passages.py
+++ b/packages/node/src/cassiahatch_node/mesh/passages.py
@@ -19,8 +19,9 @@
     """Clock seconds at which it is given up."""
     rank: int
     position: float
-    root_at: float
-    """Clock seconds at which its top request was read."""
+    root_target_at: float
+    """Clock seconds after which the answer to its top request loses part of its
+    worth."""
     refused_by: set[str] = field(default_factory=set)
     """Nodes that did not pass it on to their backend server."""
     sent_to: set[str] = field(default_factory=set)
--- a/packages/policies/src/cassiahatch_policies/slot_queue.py
+++ b/packages/policies/src/cassiahatch_policies/slot_queue.py
@@ -48,8 +48,8 @@
     """Clock seconds after which the answer is useless."""
     is_top: bool = False
     """No work has been sunk into it yet."""
-    age_s: float = 0.0
-    """How long ago its top request was let in."""
+    root_target_at: float = 0.0
+    """Clock seconds after which the answer to its top request loses part of its worth."""
     queued_at: float = 0.0
     started_at: float = 0.0
     is_withdrawn: bool = False
@@ -57,11 +57,13 @@
 
 @PLUGINS.register("queue", "priority")
 class SlotQueue:
-    """Orders jobs by their target and the age of their top request, lower ranks sooner.
+    """Orders jobs by the target of their top request, those of lower rank sooner.
 
     A run makes many calls one after the other. In the order of arrival, each of them
     waits behind the first calls of newer requests, and under overload all are begun
-    and few end in time; in the order of age, what was begun first ends first.
+    and few end in time. In the order of their top requests' targets, of two like
+    requests the one begun first ends first, and one with a short target goes between
+    the calls of those that have more time.
 
     A job never waits more than a bounded time for more urgent ones that come later:
     a strict order would starve whole kinds of request as soon as the load comes near
@@ -109,7 +111,7 @@
         if wait_s > 0.0 and now + wait_s + self._service_s > self._find_bound(job, now):
             return Rejection(Reason.QUEUE_FULL, self._suggest_pause(wait_s), True)
         job.queued_at = now
-        turn = job.target_at - job.age_s + RANK_DELAY_S * job.rank
+        turn = job.root_target_at + RANK_DELAY_S * job.rank
         heapq.heappush(self._heap, (turn, next(self._numbers), job))
         self.waiting += 1
         return None
