Keep room in the log for the few requests that were lost

Change: each event and reason has 10 lines a second of its own. Before and after: tests/test_explanation.py, many refusals do not hide the few that were lost: no line before, its line now, below 1,000 lines in all.

--- a/packages/node/src/cassiahatch_node/mesh/journal.py
+++ b/packages/node/src/cassiahatch_node/mesh/journal.py
@@ -19,6 +19,9 @@
 """How long a line may wait to be written."""
 LINES_PER_S = 200
 """Lines about requests that are written in a second; more are only counted."""
+RESERVED_LINES_PER_S = 10
+"""Lines of one event and reason that a second always has room for: thousands of
+refusals must not hide the few requests that were lost."""
 MAX_PENDING_BYTES = 262_144
 """Bytes that wait for a reader of standard output; more are dropped."""
 
@@ -51,6 +54,8 @@
         self._second = 0
         self._lines = 0
         self._left_out: Counter[str] = Counter()
+        self._by_kind: Counter[tuple[str, Any]] = Counter()
+        """Lines of this second by event and reason."""
 
     def __enter__(self) -> Journal:
         os.set_blocking(self._descriptor, False)
@@ -74,7 +79,10 @@
         if second != self._second:
             self._begin_second(second)
         self._lines += 1
-        if self._lines > LINES_PER_S:
+        kind = event, fields.get("reason")
+        self._by_kind[kind] += 1
+        is_over = self._lines > LINES_PER_S
+        if is_over and self._by_kind[kind] > RESERVED_LINES_PER_S:
             self._left_out[event] += 1
             self._metrics.count("log_lines_left_out")
             return
@@ -103,6 +111,7 @@
         left_out, self._left_out = self._left_out, Counter()
         self._second = second
         self._lines = 0
+        self._by_kind.clear()
         if left_out:
             self._write("lines_left_out", dict(left_out))
 
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -11,6 +11,8 @@
 import uvloop
 
 from cassiahatch_kernel.exchanges import Reason
+from cassiahatch_node.mesh.journal import Journal
+from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_operator import main as operator
 from cassiahatch_operator.commands import Exit, explain_request
 from cassiahatch_operator.explanation import CAUSES, explain, read_records
@@ -120,3 +122,17 @@
     explanation = explain("r1", read_records([log]))
     assert explanation.cause.startswith(CAUSES[reason])
     assert all(step.request == "r1" for step in explanation.steps)
+
+
+def test_many_refusals_do_not_hide_the_few_that_were_lost(tmp_path: Path) -> None:
+    path = tmp_path / "n.log"
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT)
+    try:
+        with Journal("n", Metrics(), descriptor) as journal:
+            for number in range(2000):
+                journal.trace("not_answered", request=f"r{number}", reason="edge")
+            journal.trace("not_answered", request="x", reason="backend_lost")
+    finally:
+        os.close(descriptor)
+    assert explain("x", read_records([path])).steps
+    assert len(path.read_text().splitlines()) < 1000, "the volume stays bounded"
