Pass a member's change on to peers that lack it, also when it was heard from a peer

A greeting is answered with the members that changed since the version that the peer knows, by the versions of the rows that this node read itself. What it had heard from a reader kept an old version and was left out, while the news still said to go up to the newest: the peer would never hear of that change. Change: a record heard from a peer counts as changed up to the version of that news.

--- a/packages/node/src/cassiahatch_node/mesh/knowledge.py
+++ b/packages/node/src/cassiahatch_node/mesh/knowledge.py
@@ -85,6 +85,9 @@
         self.config_version = 0
         self.members_version = 0
         """Version of the store up to which all changes of members are known."""
+        self._changed_at: dict[str, int] = {}
+        """Store version by which each member's record was known to have changed; of a
+        record that a peer sent, the version up to which its news went."""
         self.member_rows: dict[str, int] = {}
         """Store versions of the members' rows, by node."""
         self.on_members_read: Callable[[], None] = _ignore
@@ -136,11 +139,10 @@
             config = self._config_value
         since = hello.members_version
         if since < self.members_version:
-            versions = self.member_rows
             members = tuple(
                 encode_member(member)
                 for member in self._directory.members.values()
-                if versions.get(member.node_id, since + 1) > since
+                if self._changed_at.get(member.node_id, since + 1) > since
             )
         if not config and not members:
             return None
@@ -153,7 +155,9 @@
         if news.config and news.config_version > self.config_version:
             self.adopt(news.config, FROM_PEER)
         for value in news.members:
-            self._learn(value)
+            member = self._learn(value)
+            if member is not None and news.members_version:
+                self._note_change(member.node_id, news.members_version)
         if news.members_since <= self.members_version < news.members_version:
             since, self.members_version = self.members_version, news.members_version
             if self._duty.is_set():
@@ -163,6 +167,10 @@
         if news.members:
             self.on_members_read()
 
+    def _note_change(self, node_id: str, version: int) -> None:
+        known = self._changed_at.get(node_id, 0)
+        self._changed_at[node_id] = max(known, version)
+
     def adopt(self, value: bytes, origin: str) -> bool:
         """Put a stored configuration in force if it is newer than the one that is."""
         try:
@@ -243,6 +251,7 @@
 
     def _take_row(self, row: Row) -> None:
         self.member_rows[row.key] = row.version
+        self._note_change(row.key, row.version)
         member = self._learn(row.value)
         if member is not None and member.node_id != row.key:
             self._journal.note("member_under_other_key", key=row.key)
--- a/tests/test_mesh_readers.py
+++ b/tests/test_mesh_readers.py
@@ -3,12 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 
+from cassiahatch_kernel.clock import SystemClock
+from cassiahatch_kernel.members import Member, MemberState
+from cassiahatch_kernel.ports import Row, Scan
+from cassiahatch_node.mesh.directory import Directory
+from cassiahatch_node.mesh.frames import Hello, NewsFrame
+from cassiahatch_node.mesh.journal import Journal
+from cassiahatch_node.mesh.knowledge import Knowledge, encode_member
 from cassiahatch_node.mesh.readers import READERS_PER_ZONE, SILENT_AFTER_S, START_S
+from cassiahatch_node.mesh.settings import StoreSection
+from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_platform.store import SILENT_AFTER_MS, watch_connection
 from mesh_site import Site
 from test_mesh import ROUTES, play
@@ -107,6 +118,54 @@
     play(scene)
 
 
+class IdleLink:
+    """A link that is never ready."""
+
+    node_id = "n2"
+    is_ready = False
+
+    async def run(self) -> None:
+        """Do nothing."""
+
+    def connect_now(self) -> None:
+        """Do nothing."""
+
+
+PEERS = [
+    # store version up to which the peer knows the members, what it must be sent
+    (0, {"n2"}),
+    (30, {"n2"}),
+    (60, {"n2"}),
+    (99, {"n2"}),
+    (100, None),
+]
+
+
+@pytest.mark.parametrize(("known", "expected"), PEERS)
+def test_a_change_heard_from_a_peer_is_passed_on_to_those_that_lack_it(
+    known: int, expected: set[str] | None
+) -> None:
+    async def run() -> None:
+        clock, journal = SystemClock(), Journal("n1", Metrics(), 1)
+        with Directory("n1", "z1", clock, lambda _: IdleLink(), journal) as directory:
+            settings = StoreSection(address="127.0.0.1:9")
+            knowledge = Knowledge(
+                None, None, directory, settings, clock, random.Random(1), journal, print
+            )
+            old = Member("n2", "127.0.0.1", 9, "z1", 1, 1, MemberState.READY, "s", 4)
+            row = Row("n2", encode_member(old), 20)
+            knowledge._take_members(Scan((row,), (), 50), True)
+            changed = encode_member(replace(old, sequence=2))
+            knowledge.take_news(NewsFrame(b"", 0, (changed,), 50, 100))
+            news = knowledge.make_news(Hello(1, "n3", 0, known))
+            if expected is None:
+                assert news is None
+            else:
+                assert news.members == (changed,)
+
+    asyncio.run(run())
+
+
 def test_readers_that_lost_the_store_without_a_word_follow_other_zones() -> None:
     async def scene(site: Site) -> None:
         await build_zones(site, ["z1", "z1", "z1", "z2"])
