Tell arrivals owed to repeats apart, and count them at the backend server's node

Calls carried no mark of a repeat, and the node beside a backend server did not count what arrives there, so the logs could not tell calls below repeats from arrivals that nobody counts. Change: a call says whether it is a first sending, a repeat, or made below one; each node counts arrivals by that, as metrics and as a log line each half second that has repeats. A call whose parent the node does not know counts as below a repeat. sent_again lines name the fleet size by which the slack was divided, and are counted by reason. No decision changes: old and new nodes understand each other, the field comes last.

--- a/packages/kernel/src/cassiahatch_kernel/exchanges.py
+++ b/packages/kernel/src/cassiahatch_kernel/exchanges.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
+from enum import IntEnum, StrEnum
 
 import msgspec
 
@@ -38,6 +38,17 @@
     CLIENT_LEFT = "client_left"
 
 
+class Lineage(IntEnum):
+    """Whether an arrival at a backend server is owed to a repeat."""
+
+    FIRST = 0
+    """Neither the request nor one on whose behalf it is made was sent before."""
+    REPEAT = 1
+    """The request has been sent to a backend server before."""
+    BELOW_REPEAT = 2
+    """It is made by a run that was a repeat itself, or below one."""
+
+
 class Request(msgspec.Struct):
     """What a client asked of the node beside it."""
 
@@ -87,6 +98,7 @@
     root_target_ms: float = 0.0
     """Milliseconds until the answer to the top request loses part of its worth, counted
     at the moment of sending; negative once it has."""
+    lineage: Lineage = Lineage.FIRST
 
 
 class Reply(msgspec.Struct, array_like=True, tag=1, frozen=True):
--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -10,6 +10,7 @@
 from cassiahatch_kernel.clock import Clock
 from cassiahatch_kernel.exchanges import (
     Call,
+    Lineage,
     Lost,
     Reason,
     Rejection,
@@ -140,9 +141,12 @@
         rank = rule.priority
         root_target_at = request.arrived + rule.target_latency_s
         parent = self._ingress.running.get(request.parent) if request.parent else None
+        # A run begun before this node started may have been a repeat.
+        is_below_repeat = bool(request.parent)
         if parent is not None:
             rank, root_target_at = parent.call.rank, parent.root_target_at
             self._graph.note_call(parent.call.route, rule.name)
+            is_below_repeat = parent.call.lineage is not Lineage.FIRST
         return Passage(
             request,
             rule,
@@ -151,6 +155,7 @@
             rank,
             compute_position(rank, request.root),
             root_target_at,
+            is_below_repeat,
         )
 
     async def _pass(self, passage: Passage) -> Result:
@@ -164,12 +169,14 @@
             result = combine_results(result, outcome, passage.may_have_run)
             if not self._may_go_on(passage, place, outcome):
                 break
+            self._metrics.count(f"sent_again:{name_result(outcome)}")
             self._journal.trace(
                 "sent_again",
                 request=passage.request.id,
                 service=passage.service,
                 after=name_result(outcome),
                 node=place.node_id,
+                fleet_size=self._budget.fleet_size,
             )
         return result
 
@@ -265,6 +272,7 @@
             not request.parent,
             rule.is_idempotent,
             (passage.root_target_at - now) * MS_PER_S,
+            passage.lineage,
         )
 
     def _learn(self, place: Place, outcome: Result) -> None:
--- a/packages/node/src/cassiahatch_node/mesh/ingress.py
+++ b/packages/node/src/cassiahatch_node/mesh/ingress.py
@@ -17,6 +17,7 @@
     Reply,
     Result,
 )
+from cassiahatch_node.mesh.arrivals import ArrivalLog
 from cassiahatch_node.mesh.backend_client import BackendLine, BackendSign
 from cassiahatch_node.mesh.crash_watch import CrashWatch
 from cassiahatch_node.mesh.journal import Journal
@@ -70,6 +71,8 @@
         Tells whether the backend server still takes connections.
     crashes : CrashWatch
         Keeps requests that crash backend servers from running.
+    arrivals : ArrivalLog
+        Counts what reaches the backend server.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         create_line: Callable[[], BackendLine],
         probe: Callable[[], Awaitable[BackendSign]],
         crashes: CrashWatch,
+        arrivals: ArrivalLog,
         spans: Spans,
         metrics: Metrics,
         journal: Journal,
@@ -92,6 +96,7 @@
         self._create_line = create_line
         self._probe = probe
         self._crashes = crashes
+        self._arrivals = arrivals
         self._spans = spans
         self._metrics = metrics
         self._journal = journal
@@ -255,6 +260,7 @@
             elif obstacle is not None:
                 result = Rejection(obstacle, elsewhere=True)
             else:
+                self._arrivals.note(arrival.call.lineage)
                 result = await line.run(arrival.call, job.expires_at)
         finally:
             arrival.line = None
--- a/packages/node/src/cassiahatch_node/mesh/passages.py
+++ b/packages/node/src/cassiahatch_node/mesh/passages.py
@@ -4,7 +4,15 @@
 
 from dataclasses import dataclass, field
 
-from cassiahatch_kernel.exchanges import Lost, Reason, Rejection, Reply, Request, Result
+from cassiahatch_kernel.exchanges import (
+    Lineage,
+    Lost,
+    Reason,
+    Rejection,
+    Reply,
+    Request,
+    Result,
+)
 from cassiahatch_kernel.routes import RouteRule
 
 
@@ -22,12 +30,21 @@
     root_target_at: float
     """Clock seconds after which the answer to its top request loses part of its
     worth."""
+    is_below_repeat: bool = False
+    """Whether it is made by a run that was a repeat, or below one."""
     refused_by: set[str] = field(default_factory=set)
     """Nodes that did not pass it on to their backend server."""
     sent_to: set[str] = field(default_factory=set)
     """Nodes whose backend server had it, whether it ran it or not."""
     may_have_run: bool = False
 
+    @property
+    def lineage(self) -> Lineage:
+        """What the next attempt is to the backend server that gets it."""
+        if self.sent_to:
+            return Lineage.REPEAT
+        return Lineage.BELOW_REPEAT if self.is_below_repeat else Lineage.FIRST
+
     def note_attempt(self, node_id: str, outcome: Result) -> None:
         """Take in how an attempt at a node ended."""
         match outcome:
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -14,6 +14,7 @@
 from cassiahatch_kernel.members import Member
 from cassiahatch_kernel.registry import MESH_GROUP, PLUGINS, load_plugins
 from cassiahatch_kernel.routes import Limits, RouteTable
+from cassiahatch_node.mesh.arrivals import ArrivalLog
 from cassiahatch_node.mesh.backend_client import BackendLine, probe_backend
 from cassiahatch_node.mesh.backend_keeper import BackendKeeper
 from cassiahatch_node.mesh.call_graph import CallGraph
@@ -101,6 +102,7 @@
             PLUGINS.create("quarantine", plugins.quarantine), clock, self.journal
         )
         self.crashes = crashes
+        self._arrivals = ArrivalLog(self.metrics, self.journal)
         self.ingress = Ingress(
             clock,
             self.backend,
@@ -109,6 +111,7 @@
             lambda: BackendLine(backend_host, backend_port, dialect, clock.monotonic),
             lambda: probe_backend(backend_host, backend_port),
             crashes,
+            self._arrivals,
             self.spans,
             self.metrics,
             self.journal,
@@ -266,6 +269,7 @@
             self.directory.check_links,
             self.ingress.sweep,
             self.ingress.watch,
+            self._arrivals.run,
             self._clients.sweep,
             self._tick,
         ):
