Reproduce repeats beyond the budget over a chain of services

Callers saw: nothing by themselves; backend servers of the lower services got more repeats than the fleet may send them.

--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -8,6 +8,7 @@
 import os
 import random
 import socket
+from collections import Counter
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
@@ -19,6 +20,7 @@
 from cassiahatch_node.mesh.settings import (
     MeshSettings,
     NodeSection,
+    RetrySection,
     SpanSection,
     StoreSection,
 )
@@ -233,10 +235,57 @@
     was_dropped: bool = False
 
 
+class Oracle:
+    """Arrivals at each service, counted as the bound on repeats counts them.
+
+    A request that runs again makes its calls again; these are owed to the repeat, as
+    is what their runs call.
+    """
+
+    def __init__(self) -> None:
+        self.arrivals: Counter[tuple[str, str]] = Counter()
+        """By service, and ``first``, ``repeat`` or ``below_repeat``."""
+        self._seen: set[str] = set()
+        self._owed: set[str] = set()
+
+    def note(self, service: str, request_id: str) -> bool:
+        """Count an arrival, and tell whether its run is owed to a repeat."""
+        kind = "below_repeat" if request_id in self._owed else "first"
+        if request_id in self._seen:
+            kind = "repeat"
+        self._seen.add(request_id)
+        self.arrivals[service, kind] += 1
+        return kind != "first"
+
+    def note_call(self, request_id: str, is_owed: bool) -> None:
+        """Take in that a run is about to make a call."""
+        if is_owed:
+            self._owed.add(request_id)
+
+    def count_repeats(self, service: str) -> int:
+        """Return the arrivals of a service that are owed to repeats."""
+        kinds = ("repeat", "below_repeat")
+        return sum(self.arrivals[service, kind] for kind in kinds)
+
+
 class Backend:
-    """A backend server; ``behave`` decides what it does with a request."""
+    """A backend server; ``script`` and ``faults`` decide what it does."""
 
-    def __init__(self, service: str, instance: str, slots: int = 4) -> None:
+    def __init__(
+        self,
+        service: str,
+        instance: str,
+        slots: int = 4,
+        oracle: Oracle | None = None,
+    ) -> None:
+        self._oracle = oracle or Oracle()
+        self._random = random.Random(instance)
+        self.calls: dict[str, list[str]] = {}
+        """Targets called one after the other by a run, by the start of its path."""
+        self.faults: dict[str, float] = {}
+        """Share of the requests with which something else is done than to answer."""
+        self.node = ""
+        """Where it sends its calls."""
         self.service = service
         self.instance = instance
         self.slots = slots
@@ -282,8 +331,9 @@
         loop = asyncio.get_running_loop()
         entry = Arrived(self.instance, message, loop.time())
         self.arrived.append(entry)
-        action = self.script.pop(0) if self.script else "answer"
+        action = self.script.pop(0) if self.script else self._draw()
         request_id = message.headers.get("cassiahatch-request-id", "")
+        is_owed = self._oracle.note(self.service, request_id)
         if message.headers.get("cassiahatch-expect-instance") != self.instance:
             action = "misdirected"
         self.running += 1
@@ -291,6 +341,8 @@
         try:
             if self.work_s:
                 await asyncio.sleep(self.work_s)
+            if action == "answer" and not await self._make_calls(entry, is_owed):
+                action = "fail"
         finally:
             self.running -= 1
         if reader.at_eof() or writer.is_closing():
@@ -362,6 +414,30 @@
                 return True
         return True
 
+    def _draw(self) -> str:
+        """Return what to do with a request, at random by ``faults``."""
+        point = self._random.random()
+        for action, share in self.faults.items():
+            if point < share:
+                return action
+            point -= share
+        return "answer"
+
+    async def _make_calls(self, entry: Arrived, is_owed: bool) -> bool:
+        """Make the calls of a run, and tell whether all were answered."""
+        request_id = entry.message.headers.get("cassiahatch-request-id", "")
+        run = len(self.arrived)
+        for start, targets in self.calls.items():
+            if not entry.message.target.startswith(start):
+                continue
+            for number, target in enumerate(targets):
+                call_id = f"{request_id}.{self.instance}-{run}-{number}"
+                self._oracle.note_call(call_id, is_owed)
+                headers = {"Cassiahatch-Request-Id": call_id}
+                if (await send(self.node, "GET", target, headers)).status != 200:
+                    return False
+        return True
+
     def _render(
         self,
         status: int,
@@ -429,11 +505,13 @@
 
     def __init__(self, journal_fd: int) -> None:
         self.store = Store()
+        self.oracle = Oracle()
         self.hosts: list[Host] = []
         self._journal_fd = journal_fd
         self._stack = AsyncExitStack()
         self.version = 0
         self.span_share = 0.0
+        self.retries = RetrySection()
 
     async def __aenter__(self) -> Site:
         await self.store.open(self._stack)
@@ -449,7 +527,7 @@
     ) -> Host:
         """Add a VM, and wait until the others know its backend server."""
         number = len(self.hosts) + 1
-        backend = Backend(service, f"i-{number}", slots)
+        backend = Backend(service, f"i-{number}", slots, self.oracle)
         await backend.open(self._stack)
         node = NodeSection(
             id=f"n{number}",
@@ -463,7 +541,11 @@
         )
         store = StoreSection(address=self.store.address, pace_s=0.05)
         spans = SpanSection(share=self.span_share)
-        host = Host(backend, MeshSettings(node=node, store=store, spans=spans))
+        settings = MeshSettings(
+            node=node, store=store, spans=spans, retries=self.retries
+        )
+        host = Host(backend, settings)
+        backend.node = host.clients
         self.hosts.append(host)
         await host.start(self._journal_fd)
         if announces:
