--- a/packages/kernel/src/cassiahatch_kernel/exchanges.py
+++ b/packages/kernel/src/cassiahatch_kernel/exchanges.py
@@ -34,6 +34,7 @@
     SHED = "shed"
     BACKEND_LOST = "backend_lost"
     BACKEND_GARBLED = "backend_garbled"
+    BACKEND_ENDLESS = "backend_endless"
     QUARANTINED = "quarantined"
     DEADLINE = "deadline"
     ROUTE_TIMEOUT = "route_timeout"
--- a/packages/node/src/cassiahatch_node/mesh/backend_client.py
+++ b/packages/node/src/cassiahatch_node/mesh/backend_client.py
@@ -12,6 +12,7 @@
 from cassiahatch_kernel.exchanges import Call, Lost, Reason, Rejection, Reply, Result
 from cassiahatch_node.mesh.dialect import Dialect
 from cassiahatch_node.mesh.http_messages import RawHeaders, RawResponse, ReplyFacts
+from cassiahatch_node.mesh.open_answers import OpenAnswers
 
 CONNECT_TIMEOUT_S = 1.0
 """A loopback connection that takes longer never comes."""
@@ -24,6 +25,9 @@
 FRESH_ENOUGH_S = 0.5
 """Longest idle time of a connection that carries a call which may not be repeated."""
 MISDIRECTED = 421
+MAX_STRAYS = 4
+"""Answers to other requests passed over on one connection: a late one, or a second one
+to each of a few requests."""
 
 
 class BackendConnection(asyncio.Protocol):
@@ -31,20 +35,27 @@
 
     __slots__ = (
         "_body",
+        "_body_bytes",
         "_expects_no_body",
         "_headers",
         "_is_inside",
         "_is_until_end",
+        "_open_answers",
         "_parser",
+        "_received_bytes",
         "_responses",
         "_transport",
         "_waiter",
         "idle_timeout_s",
         "is_closed",
+        "is_endless",
         "used_at",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, open_answers: OpenAnswers) -> None:
+        self._open_answers = open_answers
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[RawResponse | None] | None = None
         self._responses: list[RawResponse] = []
@@ -52,8 +63,10 @@
         self._is_until_end = False
         self._is_inside = False
         self._headers: RawHeaders = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self.is_closed = False
+        self.is_endless = False
+        """Whether it was ended because its answer went beyond the bounds."""
         self.used_at = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_S
 
@@ -64,6 +77,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """End what waits for a response."""
         self.is_closed = True
+        self._release()
         self._resolve(None)
 
     def eof_received(self) -> bool:
@@ -78,17 +92,21 @@
         if self._waiter is None and not self._responses:
             self.close()
             return
+        self._received_bytes += len(data)
+        self._open_answers.held_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.close()
-            if not self._responses:
-                self._resolve(None)
+            self._break_off()
+            return
+        if not self._open_answers.admits(self._received_bytes, self._body_bytes):
+            self.is_endless = True
+            self._break_off()
 
     def on_message_begin(self) -> None:
         """Begin a response."""
         self._headers = []
-        self._body = []
+        self._body = bytearray()
         self._is_inside = True
         self._is_until_end = False
 
@@ -106,7 +124,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Take in a part of the body."""
-        self._body.append(body)
+        self._body += body
+        self._body_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Hand the response to whoever waits."""
@@ -116,6 +135,7 @@
 
     def send(self, data: bytes, expects_no_body: bool) -> None:
         """Send a request."""
+        self._release()
         self._expects_no_body = expects_no_body
         self._transport.write(data)
 
@@ -148,9 +168,20 @@
         self.is_closed = True
         self._transport.abort()
 
+    def _break_off(self) -> None:
+        """End the connection; a whole answer that came before stays one."""
+        self.close()
+        if not self._responses:
+            self._resolve(None)
+
+    def _release(self) -> None:
+        """Take in that nothing is held of an answer any more."""
+        self._open_answers.held_bytes -= self._received_bytes
+        self._received_bytes = 0
+        self._body_bytes = 0
+
     def _complete(self, keeps_alive: bool) -> None:
-        parts = self._body
-        body = parts[0] if len(parts) == 1 else b"".join(parts)
+        body, self._body = bytes(self._body), bytearray()
         status = self._parser.get_status_code()
         self._is_until_end = False
         self._resolve(RawResponse(status, self._headers, body, keeps_alive))
@@ -199,13 +230,29 @@
         Encoding of requests and responses.
     now : callable
         Returns clock seconds.
+    open_answers : OpenAnswers
+        Bounds what is held of answers, over all lines.
     """
 
-    __slots__ = ("_aborts", "_connection", "_dialect", "_host", "_now", "_port")
+    __slots__ = (
+        "_aborts",
+        "_connection",
+        "_dialect",
+        "_host",
+        "_now",
+        "_open_answers",
+        "_port",
+    )
 
     def __init__(
-        self, host: str, port: int, dialect: Dialect, now: Callable[[], float]
+        self,
+        host: str,
+        port: int,
+        dialect: Dialect,
+        now: Callable[[], float],
+        open_answers: OpenAnswers,
     ) -> None:
+        self._open_answers = open_answers
         self._host = host
         self._port = port
         self._dialect = dialect
@@ -271,18 +318,22 @@
     ) -> tuple[Result, bool]:
         data = self._dialect.write_call(call, expires_at - self._now())
         connection.send(data, call.method == "HEAD")
-        met_stray = False
+        strays = 0
         while True:
             response = await connection.read()
             if response is None:
-                return Lost(Reason.BACKEND_LOST), False
+                is_endless = connection.is_endless
+                reason = Reason.BACKEND_ENDLESS if is_endless else Reason.BACKEND_LOST
+                return Lost(reason), False
             facts = self._dialect.read_reply(response)
             if not facts.request_id or facts.request_id == call.id:
                 break
-            met_stray = True
+            strays += 1
+            if strays > MAX_STRAYS:
+                return Lost(Reason.BACKEND_ENDLESS), False
         if facts.idle_timeout_s is not None:
             connection.idle_timeout_s = max(0.0, facts.idle_timeout_s - IDLE_MARGIN_S)
-        may_reuse = response.keeps_alive and not (met_stray or connection.has_extra)
+        may_reuse = response.keeps_alive and not (strays or connection.has_extra)
         return _judge(call, response, facts), may_reuse
 
     async def _connect(self) -> BackendConnection | None:
@@ -290,7 +341,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    BackendConnection, self._host, self._port
+                    lambda: BackendConnection(self._open_answers),
+                    self._host,
+                    self._port,
                 )
         except OSError:
             return None
--- a/packages/node/src/cassiahatch_node/mesh/frames.py
+++ b/packages/node/src/cassiahatch_node/mesh/frames.py
@@ -10,6 +10,9 @@
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 72 * 1024 * 1024
 """Longest frame: the largest body that a configuration may allow, and its head."""
+FRAME_TIMEOUT_S = 10.0
+"""Time from the first byte of a frame to its last: the longest one takes 6 s on the
+slowest link, 100 Mbit/s."""
 LINK_VERSION = 2
 """Version of the messages; a peer of another version is not linked to."""
 
@@ -129,23 +132,37 @@
 class FrameReader:
     """Cuts a stream of bytes into frames."""
 
-    __slots__ = ("_needed", "_parts", "_size")
+    __slots__ = ("_began_at", "_needed", "_parts", "_size")
 
     def __init__(self) -> None:
+        self._began_at = 0.0
+        """When the unfinished frame began."""
         self._parts: list[bytes] = []
         self._size = 0
         self._needed = 0
         """Bytes that the frame begun needs, so that a long one is joined once."""
 
-    def feed(self, data: bytes) -> list[Frame]:
+    def is_endless(self, now: float) -> bool:
+        """Tell whether a frame has been unfinished for too long."""
+        return bool(self._parts) and now - self._began_at > FRAME_TIMEOUT_S
+
+    def feed(self, data: bytes, now: float) -> list[Frame]:
         """Return the frames that ``data`` completes.
 
+        Parameters
+        ----------
+        data : bytes
+            What has just arrived.
+        now : float
+            Clock seconds.
+
         Raises
         ------
         BadFrameError
             If the bytes are no frames.
         """
-        if self._parts:
+        was_inside = bool(self._parts)
+        if was_inside:
             self._parts.append(data)
             self._size += len(data)
             if self._size < self._needed:
@@ -170,6 +187,8 @@
                 raise BadFrameError(str(error)) from None
             start = end
         if start < size:
+            if frames or not was_inside:
+                self._began_at = now
             self._parts.append(data[start:])
             self._size = size - start
         return frames
--- a/packages/node/src/cassiahatch_node/mesh/ingress.py
+++ b/packages/node/src/cassiahatch_node/mesh/ingress.py
@@ -39,6 +39,9 @@
 """How often calls that waited too long are looked for while any wait."""
 IDLE_SWEEP_INTERVAL_S = 0.1
 """How often the cutoff and unused connections are looked at otherwise."""
+OVERDUE_S = 0.25
+"""How long beyond its deadline a run may go on: the backend server's own answer to that
+is on its way."""
 ENDED_RUN_S = 10.0
 """How long an ended run that was owed to a repeat is remembered: longer than the longest
 deadline of the deployments, 8 s, until which a backend server may go on with it."""
@@ -56,6 +59,10 @@
     line: BackendLine | None = None
     """The connection on which it runs."""
     is_withdrawn: bool = False
+    expires_at: float = float("inf")
+    """Clock seconds after which the answer is useless."""
+    is_overdue: bool = False
+    """The backend server went on beyond that, and was made to drop it."""
 
 
 class Ingress:
@@ -157,11 +164,12 @@
         """Return the job of a call that has just been received."""
         now = self._clock.monotonic()
         root_target_at = now + call.root_target_ms / MS_PER_S
+        expires_at = now + call.remaining_ms / MS_PER_S
         return Job(
-            Arrival(call, reply, root_target_at),
+            Arrival(call, reply, root_target_at, expires_at=expires_at),
             call.rank,
             now + call.target_ms / MS_PER_S,
-            now + call.remaining_ms / MS_PER_S,
+            expires_at,
             call.is_top,
             root_target_at,
         )
@@ -216,6 +224,7 @@
             for _, line in self._idle:
                 line.drop_if_idle(now)
             self._forget_ended(now)
+            self._end_overdue(now)
 
     async def watch(self) -> None:
         """Find out, for ever, whether a silent backend server still lives."""
@@ -247,6 +256,13 @@
             return None
         return Rejection(Reason.REPEATS_SPENT, elsewhere=True)
 
+    def _end_overdue(self, now: float) -> None:
+        """End the runs whose callers have given up without a word."""
+        for arrival in self.running.values():
+            if now > arrival.expires_at + OVERDUE_S and arrival.line is not None:
+                arrival.is_overdue = True
+                arrival.line.abort()
+
     def _forget_ended(self, now: float) -> None:
         ended = self._ended_repeats
         while ended and now - next(iter(ended.values())) > ENDED_RUN_S:
@@ -346,7 +362,8 @@
             return rejection
         self._budget.note(arrival.call.lineage, now)
         self._arrivals.note(arrival.call.lineage)
-        return await line.run(arrival.call, expires_at)
+        result = await line.run(arrival.call, expires_at)
+        return Lost(Reason.DEADLINE) if arrival.is_overdue else result
 
     def _learn(self, arrival: Arrival, result: Result) -> None:
         match result:
--- a/packages/node/src/cassiahatch_node/mesh/link_in.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_in.py
@@ -81,6 +81,8 @@
         if now - self.ticked_at > WAKE_GAP_S:
             self.end_links(now - self.ticked_at)
         self.ticked_at = now
+        for connection in list(self.connections):
+            connection.check(now)
 
     def end_links(self, gap_s: float) -> None:
         """End all links, so that no call of unknown age is run."""
@@ -115,17 +117,24 @@
     def data_received(self, data: bytes) -> None:
         """Take in frames."""
         service = self._service
-        gap_s = service.clock.monotonic() - service.ticked_at
+        now = service.clock.monotonic()
+        gap_s = now - service.ticked_at
         if gap_s > WAKE_GAP_S:
             service.end_links(gap_s)
             return
         try:
-            for frame in self._reader.feed(data):
+            for frame in self._reader.feed(data, now):
                 self._take(frame)
         except BadFrameError as error:
             service.journal.note("bad_frame", peer=self._peer, error=error.detail)
             self.abort()
 
+    def check(self, now: float) -> None:
+        """End the connection if a frame goes on without end."""
+        if self._reader.is_endless(now):
+            self._service.journal.note("frame_endless", peer=self._peer)
+            self.abort()
+
     def write(self, data: bytes) -> None:
         """Send bytes to the peer."""
         self._transport.write(data)
--- a/packages/node/src/cassiahatch_node/mesh/link_out.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_out.py
@@ -156,6 +156,10 @@
 
     def check(self, now: float) -> None:
         """Probe the link if it is silent; give it up if it stays so."""
+        if self._reader.is_endless(now):
+            self._journal.note("frame_endless", peer=self.node_id)
+            self._transport.abort()
+            return
         if not self.is_ready:
             if self._transport and now - self._heard_at > GREETING_TIMEOUT_S:
                 self._transport.abort()
@@ -179,6 +183,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Wake the task."""
+        self._reader = FrameReader()
         self.is_ready = False
         self._events.on_ready(self.node_id)
         self._ended.set()
@@ -187,7 +192,7 @@
         """Take in frames."""
         self._heard_at = self._clock.monotonic()
         try:
-            for frame in self._reader.feed(data):
+            for frame in self._reader.feed(data, self._heard_at):
                 self._take(frame)
         except BadFrameError as error:
             self._journal.note("bad_frame", peer=self.node_id, error=error.detail)
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -30,6 +30,7 @@
 from cassiahatch_node.mesh.knowledge import Knowledge
 from cassiahatch_node.mesh.link_in import LinkService, PeerConnection
 from cassiahatch_node.mesh.link_out import LinkEvents, PeerLink
+from cassiahatch_node.mesh.open_answers import OpenAnswers
 from cassiahatch_node.mesh.own_backend import OwnBackend
 from cassiahatch_node.mesh.readers import Readers
 from cassiahatch_node.mesh.registration import Registration
@@ -94,6 +95,10 @@
             settings.store.timeout_s,
         )
         backend_host, backend_port = split_address(node.backend)
+        answers = settings.answers
+        self.open_answers = OpenAnswers(
+            answers.max_head_bytes, answers.max_body_bytes, answers.max_total_bytes
+        )
         cutoff = PLUGINS.create("cutoff", plugins.cutoff)
         retries = settings.retries
         budget = PLUGINS.create(
@@ -122,7 +127,9 @@
             cutoff,
             self.budget,
             self.graph.read_use_below,
-            lambda: BackendLine(backend_host, backend_port, dialect, clock.monotonic),
+            lambda: BackendLine(
+                backend_host, backend_port, dialect, clock.monotonic, self.open_answers
+            ),
             lambda: probe_backend(backend_host, backend_port),
             crashes,
             self._arrivals,
--- a/packages/node/src/cassiahatch_node/mesh/settings.py
+++ b/packages/node/src/cassiahatch_node/mesh/settings.py
@@ -73,6 +73,19 @@
     window_s: Seconds = 10.0
 
 
+class AnswerSection(Section):
+    """Bounds on what is held of backend servers' answers that have not ended."""
+
+    max_head_bytes: Annotated[int, Meta(ge=1024)] = 65_536
+    """Head of an answer with informational answers and trailers: four times what
+    clients may send as a head by default."""
+    max_body_bytes: Annotated[int, Meta(ge=1024)] = 16_777_216
+    """Body of an answer: hundreds of times the deployments' longest, 36 KB."""
+    max_total_bytes: Annotated[int, Meta(ge=1024)] = 50_331_648
+    """All answers under way: a quarter of the smallest node's memory, 200 MB, since
+    joining and passing on a body takes copies of it."""
+
+
 class SpanSection(Section):
     """Spans of requests, as log lines."""
 
@@ -101,6 +114,7 @@
     store: StoreSection
     stopping: StoppingSection = StoppingSection()
     retries: RetrySection = RetrySection()
+    answers: AnswerSection = AnswerSection()
     spans: SpanSection = SpanSection()
     plugins: PluginSection = PluginSection()
 
--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -18,6 +18,7 @@
 
 from cassiahatch_node.mesh.root import Sidecar
 from cassiahatch_node.mesh.settings import (
+    AnswerSection,
     MeshSettings,
     NodeSection,
     RetrySection,
@@ -120,6 +121,9 @@
         self.oldest = 0
         self.is_down = False
         self.loses_answers = False
+        self.endless = ""
+        """Kind of an answer without end that is given to each request."""
+        self.sent_bytes = 0
         self.calls = 0
         self.follow_calls = 0
         self._changed = asyncio.Event()
@@ -150,6 +154,9 @@
             writer.close()
             return
         self.calls += 1
+        if self.endless:
+            await self._send_endless(writer)
+            return
         status, body = 503, {}
         if not self.is_down:
             status, body = await self._answer(request)
@@ -162,6 +169,28 @@
             )
         writer.close()
 
+    async def _send_endless(self, writer) -> None:
+        begin = {
+            "body": b"HTTP/1.1 200 X\r\n\r\n",
+            "chunks": f"HTTP/1.1 200 X\r\n{CHUNKED}\r\n".encode(),
+            "fields": b"HTTP/1.1 200 X\r\n",
+        }
+        part = {
+            "body": b" " * 65536,
+            "chunks": b"10000\r\n" + b" " * 65536 + b"\r\n",
+            "fields": b"X-More: more\r\n" * 4000,
+        }
+        writer.write(begin[self.endless])
+        how = self.endless
+        try:
+            while not writer.is_closing():
+                writer.write(part[how])
+                self.sent_bytes += len(part[how])
+                await writer.drain()
+        except ConnectionError:
+            pass
+        writer.close()
+
     async def _answer(self, request: Message) -> tuple[int, dict]:
         url = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
@@ -224,6 +253,43 @@
         return {"table": table, "part": "", "key": key, "value": text, "ver": version}
 
 
+@dataclass(slots=True, frozen=True)
+class Endless:
+    """An answer without end."""
+
+    after: str
+    """What comes first: nothing, an open head, a head, or a whole answer."""
+    part: bytes
+    """What then comes again and again."""
+    first: bytes = b""
+    field: str = ""
+    pause_s: float = 0.0
+
+
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+STRAY = b"HTTP/1.1 200 X\r\nCassiahatch-Request-Id: q\r\nContent-Length: 0\r\n\r\n"
+ENDLESS_S = 4.0
+"""Longest time for which an answer without end is sent."""
+ENDLESS = {
+    "endless_fields": Endless("open_head", b"X-More: more\r\n" * 500),
+    "endless_field": Endless("open_head", b"x" * 8192, b"X-Long: "),
+    "endless_status": Endless("nothing", b"x" * 8192, b"HTTP/1.1 200 "),
+    "endless_informational": Endless("nothing", b"HTTP/1.1 100 X\r\n\r\n" * 300),
+    "endless_chunks": Endless(
+        "head", b"2000\r\n" + b"y" * 8192 + b"\r\n", b"", CHUNKED
+    ),
+    "tiny_chunks": Endless("head", b"1\r\ny\r\n" * 2000, b"", CHUNKED),
+    "endless_extension": Endless("head", b"x" * 8192, b"1;x=", CHUNKED),
+    "endless_trailers": Endless("head", b"X-T: t\r\n" * 800, b"0\r\n", CHUNKED),
+    "endless_body": Endless("head", b"y" * 8192),
+    "endless_strays": Endless("nothing", STRAY * 100),
+    "endless_garbage": Endless("nothing", b"\0\1\2 no HTTP " * 600),
+    "drip_head": Endless("open_head", b"x", b"X-Long: ", pause_s=0.05),
+    "drip_body": Endless("head", b"y", pause_s=0.05),
+    "endless_after": Endless("answer", b"z" * 8192),
+}
+
+
 @dataclass(slots=True)
 class Arrived:
     """A request that reached a backend server."""
@@ -233,6 +299,8 @@
     at: float
     ran: bool = True
     was_dropped: bool = False
+    sent_bytes: int = 0
+    """What was sent of an answer without end."""
 
 
 class Oracle:
@@ -412,8 +480,34 @@
                 return False
             case "silent":
                 return True
+            case _ if action in ENDLESS:
+                await self._send_endless(entry, writer, ENDLESS[action], request_id)
+                return False
         return True
 
+    async def _send_endless(
+        self, entry: Arrived, writer, endless: Endless, request_id: str
+    ) -> None:
+        """Send bytes until the node closes the connection, a bounded time at most."""
+        head = self._render(200, request_id, b"", endless.field, framed=False)
+        match endless.after:
+            case "nothing":
+                begin = b""
+            case "open_head":
+                begin = head.removesuffix(b"\r\n")
+            case "head":
+                begin = head
+            case "answer":
+                body = f"{self.instance}:{request_id}".encode()
+                begin = self._render(200, request_id, body)
+        writer.write(begin + endless.first)
+        ends_at = asyncio.get_running_loop().time() + ENDLESS_S
+        while asyncio.get_running_loop().time() < ends_at and not writer.is_closing():
+            writer.write(endless.part)
+            entry.sent_bytes += len(endless.part)
+            await writer.drain()
+            await asyncio.sleep(endless.pause_s)
+
     def _draw(self) -> str:
         """Return what to do with a request, at random by ``faults``."""
         point = self._random.random()
@@ -512,6 +606,7 @@
         self.version = 0
         self.span_share = 0.0
         self.retries = RetrySection()
+        self.answers = AnswerSection()
 
     async def __aenter__(self) -> Site:
         await self.store.open(self._stack)
@@ -542,7 +637,11 @@
         store = StoreSection(address=self.store.address, pace_s=0.05)
         spans = SpanSection(share=self.span_share)
         settings = MeshSettings(
-            node=node, store=store, spans=spans, retries=self.retries
+            node=node,
+            store=store,
+            spans=spans,
+            retries=self.retries,
+            answers=self.answers,
         )
         host = Host(backend, settings)
         backend.node = host.clients
--- a/tests/test_mesh_frames.py
+++ b/tests/test_mesh_frames.py
@@ -62,9 +62,9 @@
     data = b"".join(encode_frame(FRAMES[pick]) for pick in picks)
     reader, found = FrameReader(), []
     for cut in cuts:
-        found += reader.feed(data[:cut])
+        found += reader.feed(data[:cut], 0.0)
         data = data[cut:]
-    found += reader.feed(data)
+    found += reader.feed(data, 0.0)
     assert found == [FRAMES[pick] for pick in picks]
 
 
@@ -78,4 +78,4 @@
 @pytest.mark.parametrize("data", BAD)
 def test_other_bytes_are_an_error(data: bytes) -> None:
     with pytest.raises(BadFrameError):
-        list(FrameReader().feed(data))
+        list(FrameReader().feed(data, 0.0))
