--- a/packages/policies/src/cassiahatch_policies/retry_budget.py
+++ b/packages/policies/src/cassiahatch_policies/retry_budget.py
@@ -19,11 +19,12 @@
 HELD_SHARE = 0.9
 """Share of the allowed repeats beyond which nothing that is owed to one is run. The rest
 is for requests that fell off since: a window may hold fewer than the one before it."""
-REPEAT_SHARE = 0.6
+REPEAT_SHARE = 0.8
 """Share up to which a request may be repeated; beyond it there is room only for calls
 of runs that were repeated above, whose work would be lost."""
-BELOW_SHARE = 0.75
-"""Share used at a service called by the run up to which a request may be repeated."""
+BELOW_SHARE = 0.7
+"""Share used at a service below up to which a request may be repeated: less than
+``REPEAT_SHARE``, since a repeat of the call that failed costs far less than the whole."""
 LEAST_SHARE = 0.3
 """Share of ``REPEAT_SHARE`` that any request may use; the rest is for the urgent."""
 POSITIONS = 3.0
