--- a/packages/node/src/cassiahatch_node/mesh/ingress.py
+++ b/packages/node/src/cassiahatch_node/mesh/ingress.py
@@ -18,11 +18,11 @@
     Reply,
     Result,
 )
-from cassiahatch_node.mesh.arrivals import ArrivalLog
 from cassiahatch_node.mesh.backend_client import BackendLine, BackendSign
 from cassiahatch_node.mesh.crash_watch import CrashWatch
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.own_backend import OwnBackend
+from cassiahatch_node.mesh.repeat_gate import RepeatGate
 from cassiahatch_node.mesh.spans import Hop, Spans
 from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_policies.slot_queue import Job
@@ -42,9 +42,6 @@
 OVERDUE_S = 0.25
 """How long beyond its deadline a run may go on: the backend server's own answer to that
 is on its way."""
-ENDED_RUN_S = 10.0
-"""How long an ended run that was owed to a repeat is remembered: longer than the longest
-deadline of the deployments, 8 s, until which a backend server may go on with it."""
 
 
 @dataclass(slots=True)
@@ -74,19 +71,16 @@
         Source of time.
     backend : OwnBackend
         The backend server.
-    queue, cutoff, budget : SlotQueue, WaitCutoff, RetryBudget
-        The plug-ins that order calls, that tell the edge what to refuse, and that
-        bound the arrivals owed to repeats.
-    read_use_below : callable
-        Returns the highest share of the repeats used below, for a route.
+    queue, cutoff : SlotQueue, WaitCutoff
+        The plug-ins that order calls, and that tell the edge what to refuse.
+    repeats : RepeatGate
+        Keeps the bound on what is owed to repeats.
     create_line : callable
         Makes what a worker uses to talk to the backend server.
     probe : callable
         Tells whether the backend server still takes connections.
     crashes : CrashWatch
         Keeps requests that crash backend servers from running.
-    arrivals : ArrivalLog
-        Counts what reaches the backend server.
     """
 
     def __init__(
@@ -95,12 +89,10 @@
         backend: OwnBackend,
         queue: Any,
         cutoff: Any,
-        budget: Any,
-        read_use_below: Callable[[str], float],
+        repeats: RepeatGate,
         create_line: Callable[[], BackendLine],
         probe: Callable[[], Awaitable[BackendSign]],
         crashes: CrashWatch,
-        arrivals: ArrivalLog,
         spans: Spans,
         metrics: Metrics,
         journal: Journal,
@@ -109,12 +101,10 @@
         self._backend = backend
         self._queue = queue
         self._cutoff = cutoff
-        self._budget = budget
-        self._read_use_below = read_use_below
+        self._repeats = repeats
         self._create_line = create_line
         self._probe = probe
         self._crashes = crashes
-        self._arrivals = arrivals
         self._spans = spans
         self._metrics = metrics
         self._journal = journal
@@ -126,8 +116,6 @@
         self._looked_at = float("-inf")
         self.running: dict[str, Arrival] = {}
         """What the backend server runs, by the id of the call."""
-        self._ended_repeats: dict[str, float] = {}
-        """When runs owed to repeats ended, oldest first, by the id of the call."""
         self.on_missing: Callable[[], None] = _ignore
 
     @property
@@ -141,7 +129,7 @@
             queue.estimate_wait_s() * MS_PER_S,
             self._cutoff.value,
             self._backend.accepts,
-            self._budget.read_use(self._clock.monotonic()),
+            self._repeats.use,
         )
 
     @property
@@ -152,13 +140,12 @@
     def was_repeat(self, call_id: str) -> bool:
         """Tell whether a run is or was owed to a repeat.
 
-        A backend server may go on with a run that its node has given up. One that
-        began before the node started counts as a first one, as most runs are.
+        One that began before the node started counts as a first one, as most are.
         """
         arrival = self.running.get(call_id)
         if arrival is not None:
             return arrival.call.lineage is not Lineage.FIRST
-        return call_id in self._ended_repeats
+        return self._repeats.has_ended(call_id)
 
     def make_job(self, call: Call, reply: Callable[[Result], None]) -> Job:
         """Return the job of a call that has just been received."""
@@ -183,11 +170,11 @@
             self._reject(arrival, Rejection(obstacle, elsewhere=True))
             return
         self._cutoff.note(arrival.call.position)
-        rejection = self._crashes.find_obstacle(arrival.call) or self._check_budget(
-            arrival.call, now
+        rejection = (
+            self._crashes.find_obstacle(arrival.call)
+            or self._repeats.find_rejection(arrival.call)
+            or self._queue.offer(job, now)
         )
-        if rejection is None:
-            rejection = self._queue.offer(job, now)
         if rejection is not None:
             self._reject(arrival, rejection)
             return
@@ -223,7 +210,6 @@
                 self._reject_obstructed(now)
             for _, line in self._idle:
                 line.drop_if_idle(now)
-            self._forget_ended(now)
             self._end_overdue(now)
 
     async def watch(self) -> None:
@@ -247,15 +233,6 @@
         for task in self._workers:
             task.cancel()
 
-    def _check_budget(self, call: Call, now: float) -> Rejection | None:
-        """Reject an arrival for which too many are owed to repeats already."""
-        if call.lineage is Lineage.FIRST:
-            return None
-        below = self._read_use_below(call.route)
-        if self._budget.admits(call.lineage, call.position, below, now):
-            return None
-        return Rejection(Reason.REPEATS_SPENT, elsewhere=True)
-
     def _end_overdue(self, now: float) -> None:
         """End the runs whose callers have given up without a word."""
         for arrival in self.running.values():
@@ -263,11 +240,6 @@
                 arrival.is_overdue = True
                 arrival.line.abort()
 
-    def _forget_ended(self, now: float) -> None:
-        ended = self._ended_repeats
-        while ended and now - next(iter(ended.values())) > ENDED_RUN_S:
-            del ended[next(iter(ended))]
-
     def _reject_obstructed(self, now: float) -> None:
         known = self._backend.announcement
         instance = known.instance if known is not None else ""
@@ -331,8 +303,7 @@
             arrival.line = None
             self.running.pop(arrival.call.id, None)
             now = self._clock.monotonic()
-            if arrival.call.lineage is not Lineage.FIRST:
-                self._ended_repeats[arrival.call.id] = now
+            self._repeats.note_end(arrival.call)
             self._queue.finish(job, now, isinstance(result, Reply))
         self._metrics.sample("backend", now - job.started_at)
         self._metrics.sample("queue", job.started_at - job.queued_at)
@@ -354,14 +325,12 @@
     ) -> Result:
         """Run a call at the backend server, and count its arrival there.
 
-        The budget is asked again: others may have used it while the call waited.
+        The gate is asked again: others may have passed it while the call waited.
         """
-        now = self._clock.monotonic()
-        rejection = self._check_budget(arrival.call, now)
+        rejection = self._repeats.find_rejection(arrival.call)
         if rejection is not None:
             return rejection
-        self._budget.note(arrival.call.lineage, now)
-        self._arrivals.note(arrival.call.lineage)
+        self._repeats.note_arrival(arrival.call)
         result = await line.run(arrival.call, expires_at)
         return Lost(Reason.DEADLINE) if arrival.is_overdue else result
 
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -34,6 +34,7 @@
 from cassiahatch_node.mesh.own_backend import OwnBackend
 from cassiahatch_node.mesh.readers import Readers
 from cassiahatch_node.mesh.registration import Registration
+from cassiahatch_node.mesh.repeat_gate import RepeatGate
 from cassiahatch_node.mesh.settings import MeshSettings, split_address
 from cassiahatch_node.mesh.settings_watch import SettingsWatch
 from cassiahatch_node.mesh.spans import Spans
@@ -125,14 +126,12 @@
             self.backend,
             PLUGINS.create("queue", plugins.queue, 1),
             cutoff,
-            self.budget,
-            self.graph.read_use_below,
+            RepeatGate(clock, budget, self.graph.read_use_below, self._arrivals),
             lambda: BackendLine(
                 backend_host, backend_port, dialect, clock.monotonic, self.open_answers
             ),
             lambda: probe_backend(backend_host, backend_port),
             crashes,
-            self._arrivals,
             self.spans,
             self.metrics,
             self.journal,
--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -8,7 +8,6 @@
 import os
 import random
 import socket
-from collections import Counter
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
@@ -25,6 +24,8 @@
     SpanSection,
     StoreSection,
 )
+from endless_answers import CHUNKED, ENDLESS, ENDLESS_S, Endless
+from repeat_oracle import Oracle
 
 HOST = "127.0.0.1"
 STAMP = "3e1b.07.5a2"
@@ -253,43 +254,6 @@
         return {"table": table, "part": "", "key": key, "value": text, "ver": version}
 
 
-@dataclass(slots=True, frozen=True)
-class Endless:
-    """An answer without end."""
-
-    after: str
-    """What comes first: nothing, an open head, a head, or a whole answer."""
-    part: bytes
-    """What then comes again and again."""
-    first: bytes = b""
-    field: str = ""
-    pause_s: float = 0.0
-
-
-CHUNKED = "Transfer-Encoding: chunked\r\n"
-STRAY = b"HTTP/1.1 200 X\r\nCassiahatch-Request-Id: q\r\nContent-Length: 0\r\n\r\n"
-ENDLESS_S = 4.0
-"""Longest time for which an answer without end is sent."""
-ENDLESS = {
-    "endless_fields": Endless("open_head", b"X-More: more\r\n" * 500),
-    "endless_field": Endless("open_head", b"x" * 8192, b"X-Long: "),
-    "endless_status": Endless("nothing", b"x" * 8192, b"HTTP/1.1 200 "),
-    "endless_informational": Endless("nothing", b"HTTP/1.1 100 X\r\n\r\n" * 300),
-    "endless_chunks": Endless(
-        "head", b"2000\r\n" + b"y" * 8192 + b"\r\n", b"", CHUNKED
-    ),
-    "tiny_chunks": Endless("head", b"1\r\ny\r\n" * 2000, b"", CHUNKED),
-    "endless_extension": Endless("head", b"x" * 8192, b"1;x=", CHUNKED),
-    "endless_trailers": Endless("head", b"X-T: t\r\n" * 800, b"0\r\n", CHUNKED),
-    "endless_body": Endless("head", b"y" * 8192),
-    "endless_strays": Endless("nothing", STRAY * 100),
-    "endless_garbage": Endless("nothing", b"\0\1\2 no HTTP " * 600),
-    "drip_head": Endless("open_head", b"x", b"X-Long: ", pause_s=0.05),
-    "drip_body": Endless("head", b"y", pause_s=0.05),
-    "endless_after": Endless("answer", b"z" * 8192),
-}
-
-
 @dataclass(slots=True)
 class Arrived:
     """A request that reached a backend server."""
@@ -303,39 +267,6 @@
     """What was sent of an answer without end."""
 
 
-class Oracle:
-    """Arrivals at each service, counted as the bound on repeats counts them.
-
-    A request that runs again makes its calls again; these are owed to the repeat, as
-    is what their runs call.
-    """
-
-    def __init__(self) -> None:
-        self.arrivals: Counter[tuple[str, str]] = Counter()
-        """By service, and ``first``, ``repeat`` or ``below_repeat``."""
-        self._seen: set[str] = set()
-        self._owed: set[str] = set()
-
-    def note(self, service: str, request_id: str) -> bool:
-        """Count an arrival, and tell whether its run is owed to a repeat."""
-        kind = "below_repeat" if request_id in self._owed else "first"
-        if request_id in self._seen:
-            kind = "repeat"
-        self._seen.add(request_id)
-        self.arrivals[service, kind] += 1
-        return kind != "first"
-
-    def note_call(self, request_id: str, is_owed: bool) -> None:
-        """Take in that a run is about to make a call."""
-        if is_owed:
-            self._owed.add(request_id)
-
-    def count_repeats(self, service: str) -> int:
-        """Return the arrivals of a service that are owed to repeats."""
-        kinds = ("repeat", "below_repeat")
-        return sum(self.arrivals[service, kind] for kind in kinds)
-
-
 class Backend:
     """A backend server; ``script`` and ``faults`` decide what it does."""
 
--- a/tests/test_mesh_endless.py
+++ b/tests/test_mesh_endless.py
@@ -12,7 +12,8 @@
 from cassiahatch_node.mesh.frames import FrameReader, encode_frame
 from cassiahatch_node.mesh.knowledge import encode_member
 from cassiahatch_node.mesh.settings import AnswerSection
-from mesh_site import ENDLESS, HOST, Site, find_port, name_request, send
+from endless_answers import ENDLESS
+from mesh_site import HOST, Site, find_port, name_request, send
 from test_mesh import ROUTES, play
 
 BOUNDS = AnswerSection(
