Count nothing of an answer that has ended

Callers would have seen: 502 for an answer of over 64 KB while kept connections had carried 48 MB of answers that ended before, as if they were still held. Cause: what a connection had received was taken off only when it carried its next request. Change: it is taken off when the answer is complete. Found by reading; the test failed before (524,590 bytes counted as held with nothing under way). Conclusion: the bound over all connections is on what is under way.

--- a/packages/node/src/cassiahatch_node/mesh/backend_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/backend_connection.py
@@ -169,6 +169,7 @@
         body, self._body = bytes(self._body), bytearray()
         status = self._parser.get_status_code()
         self._is_until_end = False
+        self._release()
         self._resolve(RawResponse(status, self._headers, body, keeps_alive))
 
     def _resolve(self, response: RawResponse | None) -> None:
--- a/tests/test_mesh_endless.py
+++ b/tests/test_mesh_endless.py
@@ -104,6 +104,29 @@
     play(scene)
 
 
+def test_answers_that_have_ended_leave_room_for_others() -> None:
+    size = BOUNDS.max_total_bytes // 3
+
+    async def scene(site: Site) -> None:
+        await build_endless(site)
+        clients = site.hosts[0].clients
+        body = b"y" * size
+
+        async def ask(name: str) -> int:
+            answer = await send(clients, "GET", "/read/1", name_request(name), body)
+            return answer.status
+
+        for host in site.hosts[1:]:
+            host.backend.work_s = 0.05
+        for turn in range(3):
+            names = [f"r{turn}-{number}" for number in range(4)]
+            assert await asyncio.gather(*map(ask, names)) == [200] * 4
+            held = [host.sidecar.open_answers.held_bytes for host in site.hosts]
+            assert held == [0] * 3, "kept connections hold nothing"
+
+    play(scene)
+
+
 @pytest.mark.parametrize("action", ["body", "chunks", "fields"])
 def test_an_answer_without_end_of_the_store_is_a_loss_of_the_store(
     action: str,
