--- a/packages/node/src/cassiahatch_node/mesh/http_server.py
+++ b/packages/node/src/cassiahatch_node/mesh/http_server.py
@@ -95,7 +95,7 @@
             self._failure = self._failure or Reason.BAD_REQUEST
             self._wake_task()
         if self._is_in_header:
-            self._check_header_size()
+            self._check_header_size(max(self._header_size, self._unfinished_size))
 
     def pause_writing(self) -> None:
         """Delay the next request while the write buffer is full."""
@@ -175,7 +175,7 @@
     def on_headers_complete(self) -> None:
         """Check the header size, and send ``100 Continue`` if the client expects it."""
         self._is_in_header = False
-        self._check_header_size()
+        self._check_header_size(self._header_size)
         if self._parser.get_method() not in BODILESS_METHODS and _expects_continue(
             self._headers
         ):
@@ -220,8 +220,7 @@
             self._transport.resume_reading()
         return request
 
-    def _check_header_size(self) -> None:
-        size = max(self._header_size, self._unfinished_size)
+    def _check_header_size(self, size: int) -> None:
         if size > self._server.limits().max_header_bytes:
             self._fail(Reason.HEADERS_TOO_LARGE)
 
--- a/tests/test_mesh_faults.py
+++ b/tests/test_mesh_faults.py
@@ -467,3 +467,22 @@
         assert [a.message.body for a in site.hosts[1].backend.arrivals] == [body] * 2
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("first_bytes", [1, 20, 110])
+def test_a_head_that_arrives_in_pieces_is_not_too_large_for_its_body(
+    first_bytes: int,
+) -> None:
+    async def scenario(site: Site) -> None:
+        await build_site(site, ["shop", "books"])
+        reader, writer = await connect(site.hosts[0].client_address)
+        body = bytes(100_000)
+        data = render_request("POST", "/order/1", make_headers("r1"), body)
+        writer.write(data[:first_bytes])
+        await asyncio.sleep(0.05)
+        writer.write(data[first_bytes:])
+        answer = await MessageReader(reader, False).read()
+        assert answer.status == 200
+        writer.close()
+
+    run_scenario(scenario)
