--- a/packages/kernel/src/cassiahatch_kernel/configurations.py
+++ b/packages/kernel/src/cassiahatch_kernel/configurations.py
@@ -23,6 +23,8 @@
     """Version number; a later version has a higher one."""
     rules: tuple[RouteRule, ...]
     limits: Limits
+    unknown_kinds: tuple[str, ...] = ()
+    """Kinds of routes that this version does not know, in alphabetical order."""
 
 
 class ConfigurationSource(Protocol):
--- a/packages/kernel/src/cassiahatch_kernel/routes.py
+++ b/packages/kernel/src/cassiahatch_kernel/routes.py
@@ -3,10 +3,24 @@
 from __future__ import annotations
 
 import random
+from enum import Enum, auto
 
 import msgspec
 
 
+class RouteKind(Enum):
+    """What the operator says of a route's requests."""
+
+    SAFE = auto()
+    """They may run more than once."""
+    UNSAFE = auto()
+    """They run once at most."""
+    UPLOAD = auto()
+    """They run once at most, and have large bodies."""
+    UNKNOWN = auto()
+    """A kind that this version does not know: they run once at most."""
+
+
 class WeightedService(msgspec.Struct, frozen=True):
     """One of the services among which a route's requests are split."""
 
@@ -24,7 +38,7 @@
     """Path prefix of the route; starts and ends with a slash."""
     parts: tuple[WeightedService, ...]
     """Services among which the requests are split."""
-    is_idempotent: bool
+    kind: RouteKind
     timeout_s: float
     target_latency_s: float
     max_attempts: int
@@ -32,6 +46,15 @@
     priority: int
     """Rank of the route; 0 is the most urgent."""
 
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        match self.kind:
+            case RouteKind.SAFE:
+                return True
+            case RouteKind.UNSAFE | RouteKind.UPLOAD | RouteKind.UNKNOWN:
+                return False
+
 
 class Limits(msgspec.Struct, frozen=True):
     """Limits on the size of clients' requests and on the time they may take."""
--- a/packages/node/src/cassiahatch_node/mesh/store_sync.py
+++ b/packages/node/src/cassiahatch_node/mesh/store_sync.py
@@ -267,6 +267,13 @@
             routes=len(configuration.rules),
             origin=origin,
         )
+        if configuration.unknown_kinds:
+            self._journal.note(
+                "unknown_route_kinds",
+                version=configuration.version,
+                found=list(configuration.unknown_kinds),
+                handled_as="unsafe",
+            )
         if self._reading_enabled.is_set():
             self._forward(UpdateFrame(value, configuration.version))
         return True
--- a/tests/test_mesh_policies.py
+++ b/tests/test_mesh_policies.py
@@ -22,6 +22,7 @@
 )
 from cassiahatch_kernel.routes import (
     Limits,
+    RouteKind,
     RouteRule,
     RouteTable,
     WeightedRoundRobin,
@@ -52,7 +53,9 @@
 
 
 def make_rule(name: str, host: str, prefix: str) -> RouteRule:
-    return RouteRule(name, host, prefix, (WeightedService("s"),), True, 1.0, 1.0, 2, 0)
+    return RouteRule(
+        name, host, prefix, (WeightedService("s"),), RouteKind.SAFE, 1.0, 1.0, 2, 0
+    )
 
 
 # Hypothesis seeds the examples with the source of this test, except its comments: a
