--- a/packages/kernel/src/cassiahatch_kernel/exchanges.py
+++ b/packages/kernel/src/cassiahatch_kernel/exchanges.py
@@ -26,6 +26,8 @@
     HEADERS_TOO_LARGE = "headers_too_large"
     BODY_TOO_LARGE = "body_too_large"
     SLOW_REQUEST = "slow_request"
+    BODY_MEMORY_FULL = "body_memory_full"
+    """The node already holds as many bytes of request bodies as it may."""
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
     NO_MEMBER = "no_member"
--- a/packages/node/src/cassiahatch_node/mesh/backend_client.py
+++ b/packages/node/src/cassiahatch_node/mesh/backend_client.py
@@ -165,8 +165,8 @@
     async def _exchange(
         self, connection: BackendConnection, call: Call, expires_at: float
     ) -> tuple[Result, bool]:
-        data = self._dialect.encode_call(call, expires_at - self._now())
-        connection.send(data, call.method == "HEAD")
+        head = self._dialect.encode_call(call, expires_at - self._now())
+        connection.send(head, call.method == "HEAD", call.body)
         unmatched = 0
         while True:
             response = await connection.read()
--- a/packages/node/src/cassiahatch_node/mesh/backend_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/backend_connection.py
@@ -133,11 +133,14 @@
         if self._parser.get_status_code() >= 200 and not self._expects_no_body:
             self._complete(self._parser.should_keep_alive())
 
-    def send(self, data: bytes, expects_no_body: bool) -> None:
+    def send(self, head: bytes, expects_no_body: bool, body: bytes = b"") -> None:
         """Send a request."""
         self._release_buffered_bytes()
         self._expects_no_body = expects_no_body
-        self._transport.write(data)
+        if body:
+            self._transport.writelines((head, body))
+        else:
+            self._transport.write(head)
 
     async def read(self) -> RawResponse | None:
         """Return the next complete response, or None if the connection is closed."""
--- a/packages/node/src/cassiahatch_node/mesh/dialect.py
+++ b/packages/node/src/cassiahatch_node/mesh/dialect.py
@@ -32,7 +32,7 @@
         """
 
     def encode_call(self, call: Call, remaining_s: float) -> bytes:
-        """Encode a call for the backend server."""
+        """Encode the head of a call for the backend server."""
 
     def decode_response(self, response: RawResponse) -> ResponseMetadata:
         """Decode the headers of a backend server's response."""
--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -108,38 +108,55 @@
         self.table: RouteTable | None = None
         """The current routes; None until the node has received a configuration."""
 
-    async def serve(self, request: Request) -> Result:
-        """Send a request from a local client and return its result."""
+    def find_rejection(self, request: Request) -> Rejection | None:
+        """Return why a request can't be served now, or None if it is admitted.
+
+        Of the request only the head needs to have been read. An admitted request may
+        count as a probe of its route, so it is checked only once.
+        """
         table = self.table
         if table is None:
             return Rejection(Reason.NO_CONFIGURATION, NOT_READY_RETRY_AFTER_S)
         rule = table.find(request.host, request.target)
+        if rule is None:
+            return Rejection(Reason.NO_ROUTE)
+        if request.parent:
+            return None
+        return self._find_overload(request, rule)
+
+    async def serve(self, request: Request) -> Result:
+        """Send an admitted request from a local client and return its result."""
+        table = self.table
+        rule = table.find(request.host, request.target)
         if rule is None:
             return Rejection(Reason.NO_ROUTE)
         timeout_s = rule.timeout_s
         if request.timeout_s is not None:
             timeout_s = min(timeout_s, request.timeout_s)
         state = self._create_state(request, rule, table, timeout_s)
-        if not request.parent and not self._graph.admits(
-            rule.name, state.position, request.arrived
-        ):
+        result = await self._send_with_retries(state)
+        if self._spans.is_sampled(state.position):
+            spent_s = self._clock.monotonic() - request.arrived
+            self._spans.write(Hop.REQUEST, request.id, spent_s, result, route=rule.name)
+        return result
+
+    def _find_overload(self, request: Request, rule: RouteRule) -> Rejection | None:
+        """Return the rejection of a root request beyond its route's cutoff."""
+        position = compute_position(rule.priority, request.root)
+        if not self._graph.admits(rule.name, position, request.arrived):
             retry_after_s = self._random.uniform(*EDGE_RETRY_AFTER_S)
             self._journal.trace(
                 "refused_at_edge",
                 request=request.id,
                 reason=Reason.EDGE_OVERLOAD,
                 route=rule.name,
-                position=round(state.position, 3),
+                position=round(position, 3),
                 cutoff=round(
                     self._graph.get_reported_cutoff(rule.name, request.arrived), 3
                 ),
             )
             return Rejection(Reason.EDGE_OVERLOAD, retry_after_s)
-        result = await self._send_with_retries(state)
-        if self._spans.is_sampled(state.position):
-            spent_s = self._clock.monotonic() - request.arrived
-            self._spans.write(Hop.REQUEST, request.id, spent_s, result, route=rule.name)
-        return result
+        return None
 
     def _create_state(
         self, request: Request, rule: RouteRule, table: RouteTable, timeout_s: float
--- a/packages/node/src/cassiahatch_node/mesh/frames.py
+++ b/packages/node/src/cassiahatch_node/mesh/frames.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
 from cassiahatch_kernel.decoding import UNDECODABLE
 from cassiahatch_kernel.errors import CodedError
@@ -12,10 +15,12 @@
 MAX_FRAME_BYTES = 72 * 1024 * 1024
 """Longest frame accepted: the largest body that a configuration may allow, with its
 head."""
+BODY_PART_BYTES = 32 * 1024
+"""Size of the parts in which large bodies are sent; other frames are sent between them."""
 FRAME_TIMEOUT_S = 10.0
 """Time allowed from the first byte of a frame to its last. The longest frame takes 6 s
 on the slowest link, 100 Mbit/s."""
-LINK_VERSION = 2
+LINK_VERSION = 3
 """Version of the messages. A link to a peer with another version is closed."""
 
 
@@ -48,6 +53,8 @@
 
     number: int
     call: Call
+    following_bytes: Annotated[int, Meta(ge=0)] = 0
+    """Size of the call's body if that follows in ``BodyFrame``; 0 if ``call`` has it."""
 
 
 class ResultFrame(msgspec.Struct, array_like=True, tag=2, frozen=True):
@@ -123,6 +130,13 @@
     fingerprint: str
 
 
+class BodyFrame(msgspec.Struct, array_like=True, tag=10, frozen=True):
+    """A part of the body of a call; the parts are sent in order."""
+
+    number: int
+    data: bytes
+
+
 Frame = (
     Hello
     | CallFrame
@@ -134,6 +148,7 @@
     | ReaderFrame
     | CrashFrame
     | ClearFrame
+    | BodyFrame
 )
 """Any message on a link."""
 
--- a/packages/node/src/cassiahatch_node/mesh/front_end.py
+++ b/packages/node/src/cassiahatch_node/mesh/front_end.py
@@ -57,31 +57,60 @@
         """Whether the node is about to exit: root requests are rejected, while calls
         made by running requests of the local backend server are still served."""
 
+    def check(self, raw: RawRequest) -> Rejection | None:
+        """Return why a request whose head has been read can't be served, or None."""
+        try:
+            request = self._dialect.decode_request(raw)
+        except BadRequestError:
+            return Rejection(Reason.BAD_REQUEST)
+        return self._find_rejection(request)
+
     async def serve(self, connection: ClientConnection, raw: RawRequest) -> None:
         """Serve one request and write its response."""
         try:
             request = self._dialect.decode_request(raw)
         except BadRequestError as error:
             self._journal.trace("bad_request", error=str(error))
-            self.reject(connection, Reason.BAD_REQUEST)
+            self.reject(connection, Rejection(Reason.BAD_REQUEST))
             return
-        if self.is_closed and not request.parent:
-            result = Rejection(Reason.STOPPING, STOPPING_RETRY_AFTER_S)
-        else:
-            result = await self._egress.serve(request)
+        rejection = None if raw.is_checked else self._find_rejection(request)
+        result = rejection or await self._egress.serve(request)
         if self._is_stopping():
             connection.closes = True
         self._record_result(request, result)
         connection.write(self._render(request, result, connection.closes))
 
-    def reject(self, connection: ClientConnection, reason: Reason) -> None:
-        """Respond to a malformed, oversized or slow request; close the connection."""
-        self._metrics.count(f"requests:{reason}")
+    def reject(
+        self,
+        connection: ClientConnection,
+        rejection: Rejection,
+        raw: RawRequest | None = None,
+    ) -> None:
+        """Respond to a request that is not read to its end; close the connection.
+
+        Parameters
+        ----------
+        raw : RawRequest, optional
+            The head of the request, if it has been read.
+        """
         connection.closes = True
-        rejection = Rejection(reason)
+        try:
+            request = self._dialect.decode_request(raw) if raw is not None else None
+        except BadRequestError:
+            request = None
+        if request is not None:
+            self._record_result(request, rejection)
+            connection.write(self._render(request, rejection, True))
+            return
+        self._metrics.count(f"requests:{rejection.reason}")
         status = find_status(rejection)
         connection.write(self._dialect.encode_failure(status, "", rejection, True))
 
+    def _find_rejection(self, request: Request) -> Rejection | None:
+        if self.is_closed and not request.parent:
+            return Rejection(Reason.STOPPING, STOPPING_RETRY_AFTER_S)
+        return self._egress.find_rejection(request)
+
     def _render(self, request: Request, result: Result, closes: bool) -> bytes:
         match result:
             case Reply():
--- a/packages/node/src/cassiahatch_node/mesh/http_messages.py
+++ b/packages/node/src/cassiahatch_node/mesh/http_messages.py
@@ -9,15 +9,17 @@
 
 
 class RawRequest(msgspec.Struct):
-    """A completely received request."""
+    """A completely received request, or the head of one."""
 
     method: str
     target: str
     headers: RawHeaders
     body: bytes
     arrived: float
-    """Monotonic seconds at which its last byte was read."""
+    """Monotonic seconds at which its first byte was read."""
     keeps_alive: bool
+    is_checked: bool = False
+    """Whether it was checked and admitted before its body was read."""
 
 
 class RawResponse(msgspec.Struct):
--- a/packages/node/src/cassiahatch_node/mesh/http_server.py
+++ b/packages/node/src/cassiahatch_node/mesh/http_server.py
@@ -5,12 +5,14 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
+from contextlib import nullcontext
 
 import httptools
 
 from cassiahatch_kernel.clock import Clock
-from cassiahatch_kernel.exchanges import Reason
+from cassiahatch_kernel.exchanges import Reason, Rejection
 from cassiahatch_kernel.routes import Limits
+from cassiahatch_node.mesh.body_memory import LARGE_BODY_BYTES, BodyMemory, BodySpace
 from cassiahatch_node.mesh.http_messages import RawHeaders, RawRequest
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -21,9 +23,18 @@
 BODILESS_METHODS = (b"GET", b"HEAD")
 SWEEP_INTERVAL_S = 0.5
 """Interval at which connections are checked for timeouts."""
-
+MEMORY_WAIT_S = 0.25
+"""Time for which a body waits for memory before its request is rejected. Meanwhile the
+client is not read from."""
+MEMORY_RETRY_AFTER_S = 0.5
+"""``Retry-After`` of requests whose bodies find no memory."""
+LINGER_S = 1.0
+"""Time for which bytes of a rejected request are read and dropped. Closing at once would
+reset the connection, and the client might never see the response."""
+
+Check = Callable[[RawRequest], Rejection | None]
 Serve = Callable[["ClientConnection", RawRequest], Awaitable[None]]
-Reject = Callable[["ClientConnection", Reason], None]
+Reject = Callable[["ClientConnection", Rejection, RawRequest | None], None]
 
 
 class ClientConnection(asyncio.Protocol):
@@ -37,9 +48,16 @@
         "_header_size",
         "_headers",
         "_is_busy",
+        "_is_checked",
+        "_is_in_body",
         "_is_in_header",
+        "_is_paused",
+        "_memory_timer",
+        "_message_began_at",
         "_parser",
         "_requests",
+        "_space",
+        "_wanted_bytes",
         "_drained",
         "_server",
         "_target",
@@ -54,13 +72,22 @@
     def __init__(self, server: ClientServer) -> None:
         self._server = server
         self._parser = httptools.HttpRequestParser(self)
-        self._requests: deque[RawRequest] = deque()
+        self._requests: deque[tuple[RawRequest, BodySpace | None]] = deque()
+        """Completely received requests, each with the memory of its body."""
+        self._space: BodySpace | None = None
+        """Memory of the body that is being received."""
+        self._wanted_bytes = 0
+        """Size of the body that waits for memory; 0 if none does."""
+        self._memory_timer: asyncio.TimerHandle | None = None
         self._request_ready: asyncio.Future[None] | None = None
         self._drained: asyncio.Future[None] | None = None
-        self._failure: Reason | None = None
+        self._failure: Rejection | None = None
         self._request_started_at: float | None = None
         self._is_busy = False
         self._is_in_header = False
+        self._is_in_body = False
+        """Whether a head has been read and its body has not."""
+        self._is_paused = False
         self._header_size = 0
         self._unfinished_size = 0
         """Bytes received of an incomplete header, without its first segment."""
@@ -79,6 +106,8 @@
         """Cancel the task, since no response can be delivered."""
         self._server.connections.discard(self)
         self._task.cancel()
+        self._stop_waiting_for_memory()
+        self._release_memory()
 
     def data_received(self, data: bytes) -> None:
         """Parse received data and enforce the header size limit."""
@@ -92,8 +121,7 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._failure = self._failure or Reason.BAD_REQUEST
-            self._wake_task()
+            self._fail(Reason.BAD_REQUEST)
         if self._is_in_header:
             self._check_header_size(max(self._header_size, self._unfinished_size))
 
@@ -110,10 +138,9 @@
     async def run(self) -> None:
         """Serve requests in order until the connection closes."""
         try:
-            while (request := await self._read()) is not None:
+            while await self._wait_for_request():
                 self._is_busy = True
-                self.closes = not request.keeps_alive or self._server.is_stopping
-                await self._server.serve(self, request)
+                await self._serve_next()
                 self._is_busy = False
                 self.last_data_at = self._server.clock.monotonic()
                 if self.closes:
@@ -121,12 +148,29 @@
                 if self._drained is not None:
                     await self._drained
             if self._failure is not None:
-                self.closes = True
-                self._server.reject(self, self._failure)
+                await self._reject(self._failure)
         finally:
             self._is_busy = False
             self._transport.close()
 
+    async def _serve_next(self) -> None:
+        request, space = self._requests.popleft()
+        self._update_reading()
+        with space or nullcontext():
+            self.closes = not request.keeps_alive or self._server.is_stopping
+            await self._server.serve(self, request)
+
+    async def _reject(self, rejection: Rejection) -> None:
+        """Respond to a request that is not read, and drop what still arrives of it."""
+        head = self._make_request() if self._is_in_body else None
+        self._server.reject(self, rejection, head)
+        self._request_started_at = None
+        self._release_memory()
+        self._update_reading()
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        await asyncio.sleep(LINGER_S)
+
     def write(self, data: bytes) -> None:
         """Send bytes to the client."""
         self._transport.write(data)
@@ -154,6 +198,8 @@
 
     def on_message_begin(self) -> None:
         """Reset the parser state for a new request."""
+        self._message_began_at = self.last_data_at
+        self._is_checked = False
         self._headers: RawHeaders = []
         self._body: list[bytes] = []
         self._body_size = 0
@@ -173,52 +219,148 @@
         self._header_size += len(name) + len(value) + FIELD_OVERHEAD_BYTES
 
     def on_headers_complete(self) -> None:
-        """Check the header size, and send ``100 Continue`` if the client expects it."""
+        """Check the size of the head, and admit the body if there is one."""
         self._is_in_header = False
+        self._is_in_body = True
         self._check_header_size(self._header_size)
-        if self._parser.get_method() not in BODILESS_METHODS and _expects_continue(
-            self._headers
+        if self._failure is None and (
+            self._parser.get_method() not in BODILESS_METHODS
         ):
+            self._admit_body(_find_body_size(self._headers))
+
+    def _admit_body(self, size: int | None) -> None:
+        """Reserve memory for the body, and let a client that waits for it send it.
+
+        A request with a large body, or one of unknown size, is checked before the body
+        is read.
+
+        Parameters
+        ----------
+        size : int or None
+            Size of the body; None if it is unknown.
+        """
+        expects_continue = _expects_continue(self._headers)
+        if size is not None and not self._fits_limits(size):
+            self._fail(Reason.BODY_TOO_LARGE)
+            return
+        if expects_continue or size is None or size > LARGE_BODY_BYTES:
+            rejection = self._server.check(self._make_request())
+            if rejection is not None:
+                self._failure = rejection
+                self._wake_task()
+                return
+            self._is_checked = True
+        if size and not self._get_space().try_extend(size):
+            self._wait_for_memory(size)
+        elif expects_continue:
             self._transport.write(CONTINUE)
 
     def on_body(self, body: bytes) -> None:
-        """Append a part of the body and enforce the body size limit."""
-        self._body.append(body)
+        """Append a part of the body, within the limits on its size and on the memory."""
+        if self._failure is not None:
+            return
         self._body_size += len(body)
-        if self._body_size > self._server.limits().max_body_bytes:
+        if self._wanted_bytes or self._body_size <= self._get_space().size:
+            self._body.append(body)
+        elif not self._fits_limits(self._body_size):
             self._fail(Reason.BODY_TOO_LARGE)
+        elif self._get_space().try_extend(self._body_size):
+            self._body.append(body)
+        else:
+            self._fail(Reason.BODY_MEMORY_FULL, MEMORY_RETRY_AFTER_S)
 
     def on_message_complete(self) -> None:
         """Queue the request for the task, unless a limit was exceeded."""
         if self._failure is not None:
             return
-        parser = self._parser
-        parts = self._body
-        self._requests.append(
-            RawRequest(
-                parser.get_method().decode("latin-1"),
-                self._target.decode("latin-1"),
-                self._headers,
-                parts[0] if len(parts) == 1 else b"".join(parts),
-                self.last_data_at,
-                parser.should_keep_alive(),
-            )
-        )
+        self._stop_waiting_for_memory()
+        self._is_in_body = False
+        parts, self._body = self._body, []
+        request = self._make_request()
+        request.body = parts[0] if len(parts) == 1 else b"".join(parts)
+        request.is_checked = self._is_checked
+        space, self._space = self._space, None
+        self._requests.append((request, space))
         self._request_started_at = None
-        if len(self._requests) >= MAX_PIPELINED:
-            self._transport.pause_reading()
+        self._update_reading()
         self._wake_task()
 
-    async def _read(self) -> RawRequest | None:
+    def _make_request(self) -> RawRequest:
+        """Return the request that is being received, without its body."""
+        return RawRequest(
+            self._parser.get_method().decode("latin-1"),
+            self._target.decode("latin-1"),
+            self._headers,
+            b"",
+            self._message_began_at,
+            self._parser.should_keep_alive(),
+        )
+
+    async def _wait_for_request(self) -> bool:
+        """Wait for a request; return False if the connection is to be closed instead."""
         if not self._requests and self._failure is None:
             self._request_ready = asyncio.get_running_loop().create_future()
             await self._request_ready
-        if not self._requests:
-            return None
-        request = self._requests.popleft()
-        if len(self._requests) == MAX_PIPELINED - 1:
+        return bool(self._requests)
+
+    def _fits_limits(self, size: int) -> bool:
+        """Return whether a body of this size may be sent at all."""
+        server = self._server
+        return size <= server.limits().max_body_bytes and (
+            server.body_memory.can_ever_hold(size)
+        )
+
+    def _get_space(self) -> BodySpace:
+        if self._space is None:
+            self._space = BodySpace(self._server.body_memory)
+        return self._space
+
+    def _wait_for_memory(self, size: int) -> None:
+        """Read no more until there is memory for the body, or reject its request."""
+        self._wanted_bytes = size
+        self._server.waiting_for_memory.append(self)
+        self._update_reading()
+        self._memory_timer = asyncio.get_running_loop().call_later(
+            MEMORY_WAIT_S, self._fail, Reason.BODY_MEMORY_FULL, MEMORY_RETRY_AFTER_S
+        )
+
+    def try_get_memory(self) -> bool:
+        """Continue to read the body that waits for memory, if there is enough now."""
+        if not self._get_space().try_extend(self._wanted_bytes):
+            return False
+        self._stop_waiting_for_memory()
+        if _expects_continue(self._headers):
+            self._transport.write(CONTINUE)
+        self._update_reading()
+        return True
+
+    def _stop_waiting_for_memory(self) -> None:
+        if not self._wanted_bytes:
+            return
+        self._wanted_bytes = 0
+        self._memory_timer.cancel()
+        self._server.waiting_for_memory.remove(self)
+
+    def _release_memory(self) -> None:
+        """Release the memory of bodies that are not served."""
+        spaces = [space for _, space in self._requests] + [self._space]
+        self._requests.clear()
+        self._body = []
+        self._space = None
+        for space in spaces:
+            if space is not None:
+                space.release()
+
+    def _update_reading(self) -> None:
+        """Pause reading while a body waits for memory, or many requests wait."""
+        pauses = bool(self._wanted_bytes) or len(self._requests) >= MAX_PIPELINED
+        if pauses is self._is_paused or self._transport.is_closing():
+            return
+        self._is_paused = pauses
+        if pauses:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
-        return request
 
     def _check_header_size(self, size: int) -> None:
         if size > self._server.limits().max_header_bytes:
@@ -227,9 +369,10 @@
     def _has_body_started(self) -> bool:
         return bool(getattr(self, "_body", None))
 
-    def _fail(self, failure: Reason) -> None:
+    def _fail(self, reason: Reason, retry_after_s: float = 0.0) -> None:
+        self._stop_waiting_for_memory()
         if self._failure is None:
-            self._failure = failure
+            self._failure = Rejection(reason, retry_after_s)
             self._wake_task()
 
     def _wake_task(self) -> None:
@@ -247,10 +390,14 @@
         Source of time.
     limits : callable
         Returns the current limits.
+    check : callable
+        Returns the rejection of a request whose head has been read, or None.
     serve : callable
         Serves one request and writes the response.
     reject : callable
         Responds to malformed, oversized or slow requests.
+    body_memory : BodyMemory
+        Accounts for the bodies that the node holds.
     on_error : callable
         Called with the exception of a connection task that failed.
     """
@@ -259,14 +406,21 @@
         self,
         clock: Clock,
         limits: Callable[[], Limits],
+        check: Check,
         serve: Serve,
         reject: Reject,
+        body_memory: BodyMemory,
         on_error: Callable[[BaseException], None],
     ) -> None:
         self.clock = clock
         self.limits = limits
+        self.check = check
         self.serve = serve
         self.reject = reject
+        self.body_memory = body_memory
+        body_memory.on_release = self._share_memory
+        self.waiting_for_memory: deque[ClientConnection] = deque()
+        """Connections with a body that waits for memory, in order of arrival."""
         self.on_error = on_error
         self.connections: set[ClientConnection] = set()
         self.is_stopping = False
@@ -278,6 +432,12 @@
             lambda: ClientConnection(self), host, port, backlog=backlog
         )
 
+    def _share_memory(self) -> None:
+        """Let waiting bodies have the memory that was released, in order of arrival."""
+        waiting = self.waiting_for_memory
+        while waiting and waiting[0].try_get_memory():
+            pass
+
     def report_failure(self, task: asyncio.Task[None]) -> None:
         """Pass the exception of a failed task to ``on_error``."""
         if not task.cancelled() and task.exception() is not None:
@@ -297,6 +457,18 @@
                 connection.check_timeouts(now, limits)
 
 
+def _find_body_size(headers: RawHeaders) -> int | None:
+    """Return the size of the body that the headers announce, or None if they do not."""
+    size: int | None = 0
+    for name, value in headers:
+        lower = name.lower()
+        if lower == b"transfer-encoding":
+            return None
+        if lower == b"content-length" and value.strip().isdigit():
+            size = int(value)
+    return size
+
+
 def _expects_continue(headers: RawHeaders) -> bool:
     return any(
         name.lower() == b"expect" and value.lower() == b"100-continue"
--- a/packages/node/src/cassiahatch_node/mesh/ingress.py
+++ b/packages/node/src/cassiahatch_node/mesh/ingress.py
@@ -164,9 +164,20 @@
             return arrival.call.attempt_kind is not AttemptKind.FIRST
         return self._retry_limiter.has_recently_ended(call_id)
 
-    def make_job(self, call: Call, reply: Callable[[Result], None]) -> Job:
-        """Return a queue job for a call, with its times in monotonic seconds."""
-        now = self._clock.monotonic()
+    def make_job(
+        self,
+        call: Call,
+        reply: Callable[[Result], None],
+        received_at: float | None = None,
+    ) -> Job:
+        """Return a queue job for a call, with its times in monotonic seconds.
+
+        Parameters
+        ----------
+        received_at : float, optional
+            Monotonic seconds at which the call was received, by default now.
+        """
+        now = self._clock.monotonic() if received_at is None else received_at
         root_target_at = now + call.root_target_ms / MS_PER_S
         expires_at = now + call.remaining_ms / MS_PER_S
         return Job(
--- a/packages/node/src/cassiahatch_node/mesh/link_in.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_in.py
@@ -6,12 +6,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from cassiahatch_kernel.clock import Clock
-from cassiahatch_kernel.exchanges import Load, Result
+from cassiahatch_kernel.exchanges import Call, Load, Reason, Rejection, Result
+from cassiahatch_node.mesh.body_memory import BodyMemory, BodySpace
 from cassiahatch_node.mesh.call_graph import CallGraph
 from cassiahatch_node.mesh.frames import (
     LINK_VERSION,
     BadFrameError,
+    BodyFrame,
     CallFrame,
     CancelFrame,
     ClearFrame,
@@ -33,6 +37,10 @@
 SUSPENSION_GAP_S = 0.6
 """A longer gap between ticks of the event loop means that the VM was suspended. Data
 in the sockets is then of unknown age."""
+BODY_MEMORY_RETRY_AFTER_S = 0.5
+"""``Retry-After`` of calls whose bodies find no memory: several times the work of a
+call, after which bodies have been released."""
+MS_PER_S = 1000
 
 
 @dataclass(slots=True)
@@ -56,6 +64,7 @@
     """Returns the crashes that a newly connected peer has to apply."""
     graph: CallGraph
     """Provides the cutoff and the retry budget use at this service and downstream."""
+    body_memory: BodyMemory
     connections: set[PeerConnection] = field(default_factory=set)
     ticked_at: float = float("inf")
     """Monotonic seconds of the last tick of the event loop."""
@@ -97,15 +106,41 @@
             connection.abort()
 
 
+@dataclass(slots=True)
+class PartialCall:
+    """A call whose body is being received."""
+
+    call: Call
+    missing_bytes: int
+    received_at: float
+    """Monotonic seconds at which its frame was received."""
+    parts: list[bytes] = field(default_factory=list)
+
+    def is_expired(self, now: float) -> bool:
+        """Return whether its deadline has passed."""
+        return now > self.received_at + self.call.remaining_ms / MS_PER_S
+
+
 class PeerConnection(asyncio.Protocol):
     """One inbound connection from a peer."""
 
-    __slots__ = ("_decoder", "_jobs", "_peer", "_service", "_transport")
+    __slots__ = (
+        "_decoder",
+        "_jobs",
+        "_partial_calls",
+        "_peer",
+        "_service",
+        "_spaces",
+        "_transport",
+    )
 
     def __init__(self, service: LinkService) -> None:
         self._service = service
         self._decoder = FrameDecoder()
         self._jobs: dict[int, Job] = {}
+        self._partial_calls: dict[int, PartialCall] = {}
+        self._spaces: dict[int, BodySpace] = {}
+        """Memory of the bodies of the calls in progress, also while they are received."""
         self._peer = ""
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -119,6 +154,9 @@
         jobs, self._jobs = self._jobs, {}
         for job in jobs.values():
             self._service.ingress.withdraw(job)
+        self._partial_calls.clear()
+        for number in list(self._spaces):
+            self._release(number)
 
     def data_received(self, data: bytes) -> None:
         """Decode and handle the frames received.
@@ -140,7 +178,10 @@
             self.abort()
 
     def check(self, now: float) -> None:
-        """Close the connection if a frame is overdue."""
+        """Drop calls that expire half received; close if a frame is overdue."""
+        for number, partial in list(self._partial_calls.items()):
+            if partial.is_expired(now):
+                self._cancel(number)
         if self._decoder.is_overdue(now):
             self._service.journal.note("frame_endless", peer=self._peer)
             self.abort()
@@ -156,11 +197,11 @@
     def _handle_frame(self, frame: Frame) -> None:
         match frame:
             case CallFrame():
-                self._start_call(frame)
+                self._receive_call(frame)
+            case BodyFrame():
+                self._receive_body_part(frame)
             case CancelFrame():
-                job = self._jobs.pop(frame.number, None)
-                if job is not None:
-                    self._service.ingress.withdraw(job)
+                self._cancel(frame.number)
             case ProbeFrame():
                 load = self._service.ingress.load
                 self.write(encode_frame(LoadFrame(load)))
@@ -192,17 +233,74 @@
         if update is not None:
             self.write(encode_frame(update))
 
-    def _start_call(self, frame: CallFrame) -> None:
-        number = frame.number
+    def _receive_call(self, frame: CallFrame) -> None:
+        now = self._service.clock.monotonic()
+        number, call = frame.number, frame.call
+        size = frame.following_bytes or len(call.body)
+        if size:
+            space = BodySpace(self._service.body_memory)
+            if not space.try_extend(size):
+                self._reject_for_memory(number, call)
+                return
+            self._spaces[number] = space
+        if frame.following_bytes:
+            self._partial_calls[number] = PartialCall(call, frame.following_bytes, now)
+        else:
+            self._start_call(number, call, now)
 
+    def _receive_body_part(self, frame: BodyFrame) -> None:
+        """Start the call once its body is complete; parts of ended calls are dropped."""
+        partial = self._partial_calls.get(frame.number)
+        if partial is None:
+            return
+        partial.parts.append(frame.data)
+        partial.missing_bytes -= len(frame.data)
+        if partial.missing_bytes < 0:
+            raise BadFrameError(
+                f"body is {-partial.missing_bytes} bytes longer than announced"
+            )
+        if not partial.missing_bytes:
+            del self._partial_calls[frame.number]
+            call = msgspec.structs.replace(partial.call, body=b"".join(partial.parts))
+            self._start_call(frame.number, call, partial.received_at)
+
+    def _start_call(self, number: int, call: Call, received_at: float) -> None:
         def reply(result: Result) -> None:
             if self._jobs.pop(number, None) is not None:
-                service = self._service
-                route, load = frame.call.route, service.ingress.load
-                cutoff = service.graph.compute_path_cutoff(route)
-                use = service.graph.compute_path_retry_use(route)
-                self.write(encode_frame(ResultFrame(number, result, load, cutoff, use)))
+                self._release(number)
+                self._send_result(number, call.route, result)
 
-        job = self._service.ingress.make_job(frame.call, reply)
+        job = self._service.ingress.make_job(call, reply, received_at)
         self._jobs[number] = job
         self._service.ingress.accept(job)
+
+    def _reject_for_memory(self, number: int, call: Call) -> None:
+        service = self._service
+        service.journal.trace(
+            "rejected_at_backend",
+            request=call.id,
+            reason=Reason.BODY_MEMORY_FULL,
+            held_bytes=service.body_memory.held_bytes,
+        )
+        rejection = Rejection(Reason.BODY_MEMORY_FULL, BODY_MEMORY_RETRY_AFTER_S, True)
+        self._send_result(number, call.route, rejection)
+
+    def _send_result(self, number: int, route: str, result: Result) -> None:
+        service = self._service
+        load = service.ingress.load
+        cutoff = service.graph.compute_path_cutoff(route)
+        use = service.graph.compute_path_retry_use(route)
+        self.write(encode_frame(ResultFrame(number, result, load, cutoff, use)))
+
+    def _cancel(self, number: int) -> None:
+        """End a call that its caller no longer waits for."""
+        self._partial_calls.pop(number, None)
+        job = self._jobs.pop(number, None)
+        if job is not None:
+            self._service.ingress.withdraw(job)
+        self._release(number)
+
+    def _release(self, number: int) -> None:
+        space = self._spaces.pop(number, None)
+        if space is not None:
+            space.release()
--- a/packages/node/src/cassiahatch_node/mesh/link_out.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_out.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import itertools
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
+
 from cassiahatch_kernel.clock import Clock
 from cassiahatch_kernel.exchanges import (
     Call,
@@ -16,9 +19,12 @@
     Rejection,
     Result,
 )
+from cassiahatch_node.mesh.body_memory import LARGE_BODY_BYTES
 from cassiahatch_node.mesh.frames import (
+    BODY_PART_BYTES,
     LINK_VERSION,
     BadFrameError,
+    BodyFrame,
     CallFrame,
     CancelFrame,
     ClearFrame,
@@ -85,11 +91,13 @@
     """
 
     __slots__ = (
+        "_bodies",
         "_callbacks",
         "_clock",
         "_connect_requested",
         "_decoder",
-        "_disconnected",
+        "_is_connected",
+        "_is_writable",
         "_host",
         "_journal",
         "_last_received_at",
@@ -98,6 +106,7 @@
         "_port",
         "_probed_at",
         "_transport",
+        "_wake",
         "is_ready",
         "node_id",
     )
@@ -121,7 +130,13 @@
         self._pending: dict[int, tuple[str, asyncio.Future[Result]]] = {}
         self._transport: asyncio.Transport | None = None
         self._decoder = FrameDecoder()
-        self._disconnected = asyncio.Event()
+        self._wake = asyncio.Event()
+        """Wakes ``run`` when the connection is lost or has bodies to send."""
+        self._is_connected = False
+        self._is_writable = True
+        """Whether the peer reads fast enough for more parts of bodies."""
+        self._bodies: deque[tuple[int, memoryview]] = deque()
+        """Calls whose bodies are being sent in turns, and what is left of each."""
         self._connect_requested = asyncio.Event()
         self._last_received_at = 0.0
         self._probed_at = 0.0
@@ -160,7 +175,13 @@
             future.set_result(Rejection(Reason.UNREACHABLE, retry_elsewhere=True))
             return number, future
         self._pending[number] = call.route, future
-        self._send(CallFrame(number, call))
+        if len(call.body) > LARGE_BODY_BYTES:
+            head = msgspec.structs.replace(call, body=b"")
+            self._send(CallFrame(number, head, len(call.body)))
+            self._bodies.append((number, memoryview(call.body)))
+            self._wake.set()
+        else:
+            self._send(CallFrame(number, call))
         return number, future
 
     def cancel(self, number: int) -> None:
@@ -198,6 +219,7 @@
         self._decoder = FrameDecoder()
         self._last_received_at = self._clock.monotonic()
         self._probed_at = self._last_received_at
+        self._is_connected = self._is_writable = True
         self._send(self._callbacks.make_hello())
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -205,7 +227,17 @@
         self._decoder = FrameDecoder()
         self.is_ready = False
         self._callbacks.on_readiness_change(self.node_id)
-        self._disconnected.set()
+        self._is_connected = False
+        self._wake.set()
+
+    def pause_writing(self) -> None:
+        """Send no more parts of bodies while the write buffer is full."""
+        self._is_writable = False
+
+    def resume_writing(self) -> None:
+        """Send more parts of bodies: the write buffer has drained."""
+        self._is_writable = True
+        self._wake.set()
 
     def data_received(self, data: bytes) -> None:
         """Decode and handle the frames received."""
@@ -219,7 +251,7 @@
 
     async def _connect_and_wait(self) -> bool:
         loop = asyncio.get_running_loop()
-        self._disconnected.clear()
+        self._wake.clear()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.create_connection(lambda: self, self._host, self._port)
@@ -227,11 +259,24 @@
             self._journal.trace("link_refused", peer=self.node_id, error=str(error))
             return False
         try:
-            await self._disconnected.wait()
+            while self._is_connected:
+                self._send_body_parts()
+                await self._wake.wait()
+                self._wake.clear()
         finally:
             self._transport.abort()
         return True
 
+    def _send_body_parts(self) -> None:
+        """Send parts of the bodies in turns, while the peer reads them."""
+        while self._bodies and self._is_writable:
+            number, rest = self._bodies.popleft()
+            if number not in self._pending:
+                continue
+            self._send(BodyFrame(number, bytes(rest[:BODY_PART_BYTES])))
+            if len(rest) > BODY_PART_BYTES:
+                self._bodies.append((number, rest[BODY_PART_BYTES:]))
+
     def _handle_frame(self, frame: Frame) -> None:
         match frame:
             case ResultFrame():
@@ -287,6 +332,7 @@
 
     def _fail_pending(self) -> None:
         pending, self._pending = self._pending, {}
+        self._bodies.clear()
         for _, future in pending.values():
             if not future.done():
                 future.set_result(Indeterminate(Reason.LINK_LOST))
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -17,6 +17,7 @@
 from cassiahatch_node.mesh.announcement_handler import AnnouncementHandler
 from cassiahatch_node.mesh.arrivals import ArrivalLog
 from cassiahatch_node.mesh.backend_client import BackendClient, probe_backend
+from cassiahatch_node.mesh.body_memory import BodyMemory
 from cassiahatch_node.mesh.call_graph import CallGraph
 from cassiahatch_node.mesh.control_server import ControlService, start_control_server
 from cassiahatch_node.mesh.crash_watch import CrashWatch
@@ -103,6 +104,7 @@
             answers.max_head_bytes, answers.max_body_bytes, answers.max_total_bytes
         )
         cutoff = PLUGINS.create("cutoff", plugins.cutoff)
+        self.body_memory = BodyMemory(settings.bodies.max_total_bytes)
         retries = settings.retries
         budget = PLUGINS.create(
             "retry_budget",
@@ -208,8 +210,10 @@
         self._clients = ClientServer(
             clock,
             lambda: self._limits,
+            self._front_end.check,
             self._front_end.serve,
             self._front_end.reject,
+            self.body_memory,
             lambda error: self.journal.note("connection_failed", error=repr(error)),
         )
         self._announcement_handler = AnnouncementHandler(
@@ -232,6 +236,7 @@
             self.store_sync.confirm,
             crashes.make_crash_frames,
             self.graph,
+            self.body_memory,
         )
         self.registration.on_change = self._links.broadcast_member
         crashes.broadcast = self._links.broadcast_crash
@@ -273,6 +278,7 @@
         self._settings = settings
         self.backend.drain_s = settings.stopping.drain_s - DRAIN_MARGIN_S
         self.spans.share = settings.spans.share
+        self.body_memory.max_total_bytes = settings.bodies.max_total_bytes
         retries = settings.retries
         self.budget.set_limits(retries.ratio, retries.slack, retries.window_s)
 
--- a/packages/node/src/cassiahatch_node/mesh/settings.py
+++ b/packages/node/src/cassiahatch_node/mesh/settings.py
@@ -98,6 +98,14 @@
     200 MB, because joining and forwarding a body makes copies of it."""
 
 
+class BodySection(Section):
+    """Limit on the memory for request bodies."""
+
+    max_total_bytes: Annotated[int, Meta(ge=65_536)] = 50_331_648
+    """Total size of all request bodies that a node holds, of its clients and of calls to
+    its backend server: a quarter of the smallest node's memory, 200 MB."""
+
+
 class SpanSection(Section):
     """Spans of requests, as log lines."""
 
@@ -128,6 +136,7 @@
     stopping: StoppingSection = StoppingSection()
     retries: RetrySection = RetrySection()
     answers: AnswerSection = AnswerSection()
+    bodies: BodySection = BodySection()
     spans: SpanSection = SpanSection()
     plugins: PluginSection = PluginSection()
 
--- a/packages/operator/src/cassiahatch_operator/explanation.py
+++ b/packages/operator/src/cassiahatch_operator/explanation.py
@@ -24,6 +24,7 @@
     Reason.HEADERS_TOO_LARGE: "the headers exceed the configured limit",
     Reason.BODY_TOO_LARGE: "the body exceeds the configured limit",
     Reason.SLOW_REQUEST: "the client took too long to send the request",
+    Reason.BODY_MEMORY_FULL: "a node held as many bytes of request bodies as it may",
     Reason.NO_CONFIGURATION: "the node knew no configuration yet",
     Reason.NO_ROUTE: "no route of the configuration in force fits",
     Reason.NO_MEMBER: "no backend server of the service could be reached",
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -13,6 +13,7 @@
 from cassiahatch_kernel.exchanges import Load
 from cassiahatch_kernel.members import Member, MemberState
 from cassiahatch_kernel.ports import Row, Scan, StoreUnavailableError
+from cassiahatch_node.mesh.body_memory import BodyMemory
 from cassiahatch_node.mesh.directory import Directory
 from cassiahatch_node.mesh.frames import LINK_VERSION
 from cassiahatch_node.mesh.journal import Journal
@@ -168,6 +169,7 @@
             self.store_sync.confirm,
             list,
             None,
+            BodyMemory(1_000_000),
         )
         self._loop = loop
         self._journal = journal
--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -19,6 +19,7 @@
 from cassiahatch_node.mesh.root import Sidecar
 from cassiahatch_node.mesh.settings import (
     AnswerSection,
+    BodySection,
     MeshSettings,
     NodeSection,
     RetrySection,
@@ -591,6 +592,7 @@
         self.span_share = 0.0
         self.retries = RetrySection()
         self.answers = AnswerSection()
+        self.bodies = BodySection()
         """Like ``span_share`` and ``retries``, a setting of VMs added later."""
 
     async def __aenter__(self) -> Site:
@@ -627,6 +629,7 @@
             spans=spans,
             retries=self.retries,
             answers=self.answers,
+            bodies=self.bodies,
         )
         host = Host(backend, settings)
         backend.node_address = host.client_address
