--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -108,40 +108,30 @@
         self.table: RouteTable | None = None
         """The current routes; None until the node has received a configuration."""
 
-    def find_rejection(self, request: Request) -> Rejection | None:
-        """Return why a request can't be served now, or None if it is admitted.
-
-        Of the request only the head needs to have been read. An admitted request may
-        count as a probe of its route, so it is checked only once.
-        """
+    def find_route(self, request: Request) -> RouteRule | Rejection:
+        """Return the route of a request, or a rejection if there is none."""
         table = self.table
         if table is None:
             return Rejection(Reason.NO_CONFIGURATION, NOT_READY_RETRY_AFTER_S)
-        rule = table.find(request.host, request.target)
-        if rule is None:
-            return Rejection(Reason.NO_ROUTE)
-        if request.parent:
-            return None
-        return self._find_overload(request, rule)
+        return table.find(request.host, request.target) or Rejection(Reason.NO_ROUTE)
 
-    async def serve(self, request: Request) -> Result:
+    async def serve(self, request: Request, rule: RouteRule) -> Result:
         """Send an admitted request from a local client and return its result."""
-        table = self.table
-        rule = table.find(request.host, request.target)
-        if rule is None:
-            return Rejection(Reason.NO_ROUTE)
-        timeout_s = rule.timeout_s
-        if request.timeout_s is not None:
-            timeout_s = min(timeout_s, request.timeout_s)
-        state = self._create_state(request, rule, table, timeout_s)
+        state = self._create_state(request, rule)
         result = await self._send_with_retries(state)
         if self._spans.is_sampled(state.position):
             spent_s = self._clock.monotonic() - request.arrived
             self._spans.write(Hop.REQUEST, request.id, spent_s, result, route=rule.name)
         return result
 
-    def _find_overload(self, request: Request, rule: RouteRule) -> Rejection | None:
-        """Return the rejection of a root request beyond its route's cutoff."""
+    def find_overload(self, request: Request, rule: RouteRule) -> Rejection | None:
+        """Return the rejection of a root request beyond its route's cutoff.
+
+        Only the head of the request needs to have been read. One that is admitted may
+        count as a probe of its route, so each request is checked once.
+        """
+        if request.parent:
+            return None
         position = compute_position(rule.priority, request.root)
         if not self._graph.admits(rule.name, position, request.arrived):
             retry_after_s = self._random.uniform(*EDGE_RETRY_AFTER_S)
@@ -158,9 +148,7 @@
             return Rejection(Reason.EDGE_OVERLOAD, retry_after_s)
         return None
 
-    def _create_state(
-        self, request: Request, rule: RouteRule, table: RouteTable, timeout_s: float
-    ) -> RequestState:
+    def _create_state(self, request: Request, rule: RouteRule) -> RequestState:
         rank = rule.priority
         root_target_at = request.arrived + rule.target_latency_s
         parent = self._ingress.running.get(request.parent) if request.parent else None
@@ -171,8 +159,8 @@
         return RequestState(
             request,
             rule,
-            table.choose_service(rule),
-            request.arrived + timeout_s,
+            self.table.choose_service(rule),
+            compute_expiry(request, rule),
             rank,
             compute_position(rank, request.root),
             root_target_at,
@@ -389,6 +377,14 @@
         return is_outlier(endpoint, self._directory.list_endpoints(service))
 
 
+def compute_expiry(request: Request, rule: RouteRule) -> float:
+    """Return the earlier of the client's deadline and the route's timeout."""
+    timeout_s = rule.timeout_s
+    if request.timeout_s is not None:
+        timeout_s = min(timeout_s, request.timeout_s)
+    return request.arrived + timeout_s
+
+
 def _set_deadline_exceeded(future: asyncio.Future[Result]) -> None:
     if not future.done():
         future.set_result(Indeterminate(Reason.DEADLINE))
--- a/packages/node/src/cassiahatch_node/mesh/front_end.py
+++ b/packages/node/src/cassiahatch_node/mesh/front_end.py
@@ -13,12 +13,14 @@
     Request,
     Result,
 )
+from cassiahatch_kernel.routes import RouteRule
 from cassiahatch_node.mesh.dialect import BadRequestError, Dialect
-from cassiahatch_node.mesh.egress import Egress
+from cassiahatch_node.mesh.egress import Egress, compute_expiry
 from cassiahatch_node.mesh.http_messages import RawRequest
 from cassiahatch_node.mesh.http_server import ClientConnection
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.observability.metrics import Metrics
+from cassiahatch_policies.stop_admission import StopAdmission
 
 DEFAULT_RETRY_AFTER_S = 0.2
 """``Retry-After`` of a rejection that gives no time of its own."""
@@ -53,9 +55,8 @@
         self._metrics = metrics
         self._journal = journal
         self._is_stopping = is_stopping
-        self.is_closed = False
-        """Whether the node is about to exit: root requests are rejected, while calls
-        made by running requests of the local backend server are still served."""
+        self.stop_admission: StopAdmission | None = None
+        """Admits requests while the node stops; None before."""
 
     def check(self, raw: RawRequest) -> Rejection | None:
         """Return why a request whose head has been read can't be served, or None."""
@@ -63,7 +64,11 @@
             request = self._dialect.decode_request(raw)
         except BadRequestError:
             return Rejection(Reason.BAD_REQUEST)
-        return self._find_rejection(request)
+        match self._egress.find_route(request):
+            case RouteRule() as rule:
+                return self._find_rejection(request, rule)
+            case rejection:
+                return rejection
 
     async def serve(self, connection: ClientConnection, raw: RawRequest) -> None:
         """Serve one request and write its response."""
@@ -73,8 +78,7 @@
             self._journal.trace("bad_request", error=str(error))
             self.reject(connection, Rejection(Reason.BAD_REQUEST))
             return
-        rejection = None if raw.is_checked else self._find_rejection(request)
-        result = rejection or await self._egress.serve(request)
+        result = await self._answer(request, raw.is_checked)
         if self._is_stopping():
             connection.closes = True
         self._record_result(request, result)
@@ -106,10 +110,22 @@
         status = find_status(rejection)
         connection.write(self._dialect.encode_failure(status, "", rejection, True))
 
-    def _find_rejection(self, request: Request) -> Rejection | None:
-        if self.is_closed and not request.parent:
+    async def _answer(self, request: Request, is_checked: bool) -> Result:
+        match self._egress.find_route(request):
+            case RouteRule() as rule:
+                rejection = None if is_checked else self._find_rejection(request, rule)
+                return rejection or await self._egress.serve(request, rule)
+            case rejection:
+                return rejection
+
+    def _find_rejection(self, request: Request, rule: RouteRule) -> Rejection | None:
+        """Return why a request of a route is not admitted, or None."""
+        stop = self.stop_admission
+        if stop is not None and not stop.admits(
+            compute_expiry(request, rule), self._clock.monotonic()
+        ):
             return Rejection(Reason.STOPPING, STOPPING_RETRY_AFTER_S)
-        return self._egress.find_rejection(request)
+        return self._egress.find_overload(request, rule)
 
     def _render(self, request: Request, result: Result, closes: bool) -> bytes:
         match result:
--- a/packages/node/src/cassiahatch_node/mesh/ingress.py
+++ b/packages/node/src/cassiahatch_node/mesh/ingress.py
@@ -193,7 +193,9 @@
         """Admit a job to the queue, or reject it."""
         now = self._clock.monotonic()
         arrival: Arrival = job.payload
-        reason = self._backend.find_rejection_reason(arrival.call.instance, now)
+        reason = self._backend.find_rejection_reason(
+            arrival.call.instance, now, job.expires_at
+        )
         if reason is not None:
             self._reject(arrival, Rejection(reason, retry_elsewhere=True))
             return
@@ -279,7 +281,7 @@
     def _reject_if_unavailable(self, now: float) -> None:
         current = self._backend.announcement
         instance = current.instance if current is not None else ""
-        reason = self._backend.find_rejection_reason(instance, now)
+        reason = self._backend.find_rejection_reason(instance, now, now)
         if reason is not None:
             for job in self._queue.clear():
                 self._reject(job.payload, Rejection(reason, retry_elsewhere=True))
@@ -379,7 +381,7 @@
             self._busy_since = self._clock.monotonic()
         self.running[arrival.call.id] = arrival
         reason = self._backend.find_rejection_reason(
-            arrival.call.instance, self._clock.monotonic()
+            arrival.call.instance, self._clock.monotonic(), job.expires_at
         )
         try:
             if arrival.is_withdrawn:
--- a/packages/node/src/cassiahatch_node/mesh/own_backend.py
+++ b/packages/node/src/cassiahatch_node/mesh/own_backend.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cassiahatch_kernel.exchanges import Reason
+from cassiahatch_policies.stop_admission import StopAdmission
 
 
 class BackendState(Enum):
@@ -53,10 +54,10 @@
         "_stops_at",
         "announcement",
         "cold_until",
-        "is_closed",
         "drain_s",
         "is_missing",
         "is_stopping",
+        "stop_admission",
     )
 
     def __init__(self, drain_s: float) -> None:
@@ -69,9 +70,9 @@
         """Whether it refused a connection, did not answer a probe, or another process
         has taken over its address."""
         self.is_stopping = False
-        """Whether the node itself is stopping."""
-        self.is_closed = False
-        """Whether the node is about to exit and starts no more calls."""
+        """Whether peers have been told that the node stops."""
+        self.stop_admission: StopAdmission | None = None
+        """Admits calls while the node stops; None before."""
 
     def update(self, announcement: Announcement, now: float) -> bool:
         """Apply an announcement, and return whether it changed the state.
@@ -126,10 +127,18 @@
         """Start no more calls: the drain period began under an earlier node process."""
         self._stops_at = float("-inf")
 
-    def find_rejection_reason(self, instance: str, now: float) -> Reason | None:
-        """Return why a call for ``instance`` cannot start now, or None if it can."""
-        current = self.announcement
-        if self.is_closed:
+    def find_rejection_reason(
+        self, instance: str, now: float, expires_at: float = float("inf")
+    ) -> Reason | None:
+        """Return why a call for ``instance`` cannot start now, or None if it can.
+
+        Parameters
+        ----------
+        expires_at : float, optional
+            Deadline of the call in monotonic seconds; by default it has none.
+        """
+        current, stop = self.announcement, self.stop_admission
+        if stop is not None and not stop.admits(expires_at, now):
             return Reason.STOPPING
         if current is None or self.is_missing:
             return Reason.NO_BACKEND
--- a/packages/node/src/cassiahatch_node/mesh/stopping.py
+++ b/packages/node/src/cassiahatch_node/mesh/stopping.py
@@ -9,18 +9,13 @@
 from cassiahatch_node.mesh.front_end import FrontEnd
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.own_backend import OwnBackend
+from cassiahatch_policies.stop_admission import StopAdmission
 
 CLIENT_NOTICE_S = 2.3
 """Time after SIGTERM in which clients still send requests: they probe the readiness
 once a second and stop using the node after two failed probes."""
 IDLE_S = 0.2
 """Time without open requests after which the node may exit."""
-GRACE_SHARE = 0.86
-"""Share of the time before SIGKILL after which the node exits although requests are
-still open; five sixths of that time are reserved for the requests."""
-ACCEPT_SHARE = 0.5
-"""Share of the time before SIGKILL after which no more requests are accepted, since
-later ones might not finish in time."""
 PEER_NOTICE_S = 1.6
 """Time after SIGTERM in which peers may still send calls to the backend server. Calls
 received by then are mostly answered when the clients have moved elsewhere."""
@@ -28,7 +23,7 @@
 
 
 class GracefulStop:
-    """Finishes open requests, and starts none that might not finish in time.
+    """Finishes open requests, and takes none that might not finish in time.
 
     The backend server keeps running, so peers may send it calls for as long as there
     is time to answer them.
@@ -46,12 +41,12 @@
     """
 
     __slots__ = (
+        "_admission",
         "_backend",
         "_broadcast_load",
         "_clock",
         "_count_open",
         "_front_end",
-        "_grace_s",
         "_journal",
         "_servers",
         "_started_at",
@@ -68,7 +63,6 @@
         clock: Clock,
         journal: Journal,
     ) -> None:
-        self._grace_s = grace_s
         self._backend = backend
         self._front_end = front_end
         self._servers = servers
@@ -77,19 +71,21 @@
         self._clock = clock
         self._journal = journal
         self._started_at = clock.monotonic()
+        self._admission = StopAdmission(self._started_at, grace_s)
 
     async def run(self) -> None:
         """Stop the node, and return when the process may exit."""
         self._journal.note("stopping", open=self._count_open())
+        self._backend.stop_admission = self._admission
+        self._front_end.stop_admission = self._admission
         await self._serve_until_idle()
         await self._drain()
         self._journal.note("stopped", open=self._count_open())
 
     async def _serve_until_idle(self) -> None:
-        """Serve until no request is open, for half of the grace period at most."""
+        """Serve until no request is open and clients have noticed the stop."""
         idle_since = self._started_at
-        closes_at = self._started_at + self._grace_s * ACCEPT_SHARE
-        while (now := self._clock.monotonic()) < closes_at:
+        while (now := self._clock.monotonic()) < self._admission.ends_at:
             if now - self._started_at > PEER_NOTICE_S and not self._backend.is_stopping:
                 self._backend.is_stopping = True
                 self._broadcast_load()
@@ -100,13 +96,12 @@
             await asyncio.sleep(POLL_S)
 
     async def _drain(self) -> None:
-        """Accept no more requests, wait for the open ones, and close the listeners."""
-        ends_at = self._started_at + self._grace_s * GRACE_SHARE
-        self._backend.is_stopping = self._backend.is_closed = True
-        self._front_end.is_closed = True
+        """Take no more requests, wait for the open ones, and close the listeners."""
+        self._admission.is_closed = True
+        self._backend.is_stopping = True
         self._broadcast_load()
         await asyncio.sleep(IDLE_S)
-        while self._count_open() and self._clock.monotonic() < ends_at:
+        while self._count_open() and self._clock.monotonic() < self._admission.ends_at:
             await asyncio.sleep(POLL_S)
         for server in self._servers:
             server.close()
--- a/tests/test_mesh_process.py
+++ b/tests/test_mesh_process.py
@@ -81,14 +81,14 @@
                 await asyncio.sleep(0.05)
         return self.find_events(event)[-1]
 
-    async def announce(self) -> None:
+    async def announce(self, slots: int = 4, sequence: int = 1) -> None:
         body = {
             "service": "books",
             "address": self.backend.address,
             "zone": "z1",
-            "slots": 4,
+            "slots": slots,
             "state": "ready",
-            "sequence": 1,
+            "sequence": sequence,
             "born": 1,
         }
         path = f"/v1/Instances.Heartbeat/{self.backend.instance}"
@@ -105,9 +105,9 @@
                 assert answer.status == 200
                 return
 
-    async def send_request(self, request_id: str) -> int:
+    async def send_request(self, request_id: str, target: str = "/read/1") -> int:
         answer = await send(
-            self.fields["clients"], "GET", "/read/1", make_headers(request_id)
+            self.fields["clients"], "GET", target, make_headers(request_id)
         )
         return answer.status
 
@@ -115,7 +115,9 @@
 Scenario = Callable[[NodeProcess], Awaitable[None]]
 
 
-def run_scenario(scenario: Scenario, folder: Path, reads_log: bool = True) -> None:
+def run_scenario(
+    scenario: Scenario, folder: Path, reads_log: bool = True, grace: str = "6"
+) -> None:
     """Run a scenario with a sidecar process, then kill it if it still runs."""
 
     async def run() -> None:
@@ -129,6 +131,7 @@
             backend = Backend("books", "i-1")
             await backend.open(stack)
             process = NodeProcess(folder, site, backend)
+            process.fields["grace"] = grace
             unread_pipe = os.pipe()
             log_fd = os.open(process.log_path, os.O_WRONLY | os.O_CREAT)
             await process.start(log_fd if reads_log else unread_pipe[1])
--- a/tests/test_mesh_uploads.py
+++ b/tests/test_mesh_uploads.py
@@ -32,6 +32,7 @@
 )
 from cassiahatch_node.mesh.link_out import PeerLink
 from cassiahatch_node.mesh.settings import BodySection
+from cassiahatch_policies.stop_admission import StopAdmission
 from mesh_site import Message, MessageReader, Site, make_headers, send
 from test_mesh import run_scenario
 from test_mesh_process import NodeProcess
@@ -161,7 +162,9 @@
 
 
 async def stop_serving(site: Site) -> None:
-    site.hosts[0].sidecar._front_end.is_closed = True
+    admission = StopAdmission(0.0, 6.0)
+    admission.is_closed = True
+    site.hosts[0].sidecar._front_end.stop_admission = admission
 
 
 async def fill_memory(site: Site) -> None:
