--- a/packages/node/src/cassiahatch_node/mesh/directory.py
+++ b/packages/node/src/cassiahatch_node/mesh/directory.py
@@ -11,6 +11,7 @@
 from cassiahatch_kernel.members import Member, MemberState
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.link_out import PeerLink
+from cassiahatch_node.supervision import run_supervised
 from cassiahatch_policies.placement import Endpoint
 
 CHECK_INTERVAL_S = 0.2
@@ -131,7 +132,8 @@
             if member is None:
                 return None
             link = self._links[node_id] = self._create_link(member)
-            self._tasks[node_id] = asyncio.create_task(link.run())
+            supervised = run_supervised(link.run, self._log_task_failure)
+            self._tasks[node_id] = asyncio.create_task(supervised)
         return link
 
     def reconnect(self, node_id: str) -> None:
@@ -214,6 +216,9 @@
     def _needs_eager_link(self, member: Member) -> bool:
         return len(self.members) <= FULL_MESH_MAX_MEMBERS or member.zone == self._zone
 
+    def _log_task_failure(self, name: str, error: Exception) -> None:
+        self._journal.note("task_failed", task=name, error=repr(error))
+
     def _close_link(self, node_id: str) -> None:
         self._links.pop(node_id, None)
         task = self._tasks.pop(node_id, None)
--- a/packages/node/src/cassiahatch_node/mesh/link_out.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_out.py
@@ -145,6 +145,7 @@
 
     async def run(self) -> None:
         """Connect, wait until the connection is lost, and reconnect until cancelled."""
+        self._fail_pending()
         backoff_s = FIRST_BACKOFF_S
         while True:
             was_ready = await self._connect_and_wait()
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -6,6 +6,7 @@
 import gc
 import random
 import signal
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
 
@@ -41,6 +42,7 @@
 from cassiahatch_node.mesh.stopping import GracefulStop
 from cassiahatch_node.mesh.store_sync import StoreSync
 from cassiahatch_node.observability.metrics import Metrics
+from cassiahatch_node.supervision import run_supervised
 
 BACKLOG = 512
 """Connections that may wait to be accepted: more than a burst of clients opens in the
@@ -267,9 +269,7 @@
             loop.add_signal_handler(number, self._stopping.set)
         watch = SettingsWatch(path, self._settings, self.reload, self.journal)
         loop.add_signal_handler(signal.SIGHUP, watch.wake)
-        task = asyncio.create_task(watch.run(), name="SettingsWatch.run")
-        task.add_done_callback(self._stop_on_failure)
-        self._stack.callback(task.cancel)
+        self._start_task(watch.run)
         await self._stopping.wait()
         await self.stop()
 
@@ -303,9 +303,7 @@
             self._clients.sweep,
             self._tick,
         ):
-            task = asyncio.create_task(run(), name=run.__qualname__)
-            task.add_done_callback(self._stop_on_failure)
-            stack.callback(task.cancel)
+            self._start_task(run)
         gc.collect()
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
@@ -414,9 +412,11 @@
     def _count_open(self) -> int:
         return self._clients.busy_count + self.ingress.open_count
 
-    def _stop_on_failure(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            self.journal.note(
-                "task_failed", task=task.get_name(), error=repr(task.exception())
-            )
-            self._stopping.set()
+    def _start_task(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Start a task that runs until the node ends, whatever errors it meets."""
+        supervised = run_supervised(run, self._log_task_failure)
+        task = asyncio.create_task(supervised, name=run.__qualname__)
+        self._stack.callback(task.cancel)
+
+    def _log_task_failure(self, name: str, error: Exception) -> None:
+        self.journal.note("task_failed", task=name, error=repr(error))
--- a/packages/node/src/cassiahatch_node/root.py
+++ b/packages/node/src/cassiahatch_node/root.py
@@ -36,6 +36,7 @@
 from cassiahatch_node.peers.server import PeerConnection, PeerService
 from cassiahatch_node.router import Router
 from cassiahatch_node.settings import Settings
+from cassiahatch_node.supervision import run_supervised
 from cassiahatch_policies.once import TenureBook
 
 WEBSOCKET_PING_INTERVAL_S = 5.0
@@ -292,18 +293,11 @@
             self.tenures.run,
             self._quota_client.run,
         ):
-            task = asyncio.create_task(run(), name=run.__qualname__)
-            task.add_done_callback(self._stop_on_failure)
+            supervised = run_supervised(run, _log_task_failure)
+            task = asyncio.create_task(supervised, name=run.__qualname__)
             stack.push_async_callback(_cancel_task, task)
         log_event("listening", node=self._settings.node.id)
 
-    def _stop_on_failure(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            log_warning(
-                "task_failed", task=task.get_name(), error=repr(task.exception())
-            )
-            self._stopping.set()
-
     def _listen(self) -> None:
         node = self._settings.node
         body_limit = self._settings.calls.max_body_bytes
@@ -463,6 +457,10 @@
     return {"service": service}
 
 
+def _log_task_failure(name: str, error: Exception) -> None:
+    log_warning("task_failed", task=name, error=repr(error))
+
+
 async def _cancel_task(task: asyncio.Task[None]) -> None:
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
