--- a/packages/kernel/src/cassiahatch_kernel/exchanges.py
+++ b/packages/kernel/src/cassiahatch_kernel/exchanges.py
@@ -45,6 +45,8 @@
     """The backend server is leaving."""
     STOPPING = "stopping"
     """The node is stopping."""
+    EXPIRED = "expired"
+    """The deadline had passed when the request was read: the VM had been suspended."""
     QUEUE_FULL = "queue_full"
     """The queue is too long for an answer in time."""
     QUEUE_EXPIRED = "queue_expired"
--- a/packages/node/src/cassiahatch_node/mesh/front_end.py
+++ b/packages/node/src/cassiahatch_node/mesh/front_end.py
@@ -48,6 +48,7 @@
         metrics: Metrics,
         journal: Journal,
         is_stopping: Callable[[], bool],
+        compute_earliest_sending: Callable[[float], float],
     ) -> None:
         self._dialect = dialect
         self._egress = egress
@@ -55,13 +56,14 @@
         self._metrics = metrics
         self._journal = journal
         self._is_stopping = is_stopping
+        self._compute_earliest_sending = compute_earliest_sending
         self.stop_admission: StopAdmission | None = None
         """Admits requests while the node stops; None before."""
 
     def check(self, raw: RawRequest) -> Rejection | None:
         """Return why a request whose head has been read can't be served, or None."""
         try:
-            request = self._dialect.decode_request(raw)
+            request = self._decode(raw)
         except BadRequestError:
             return Rejection(Reason.BAD_REQUEST)
         match self._egress.find_route(request):
@@ -73,7 +75,7 @@
     async def serve(self, connection: ClientConnection, raw: RawRequest) -> None:
         """Serve one request and write its response."""
         try:
-            request = self._dialect.decode_request(raw)
+            request = self._decode(raw)
         except BadRequestError as error:
             self._journal.trace("bad_request", error=str(error))
             self.reject(connection, Rejection(Reason.BAD_REQUEST))
@@ -110,6 +112,18 @@
         status = find_status(rejection)
         connection.write(self._dialect.encode_failure(status, "", rejection, True))
 
+    def _decode(self, raw: RawRequest) -> Request:
+        """Decode a request, dated to when its client may have sent it.
+
+        Raises
+        ------
+        BadRequestError
+            If the request lacks a required header or value.
+        """
+        request = self._dialect.decode_request(raw)
+        request.arrived = self._compute_earliest_sending(raw.arrived)
+        return request
+
     async def _answer(self, request: Request, is_checked: bool) -> Result:
         match self._egress.find_route(request):
             case RouteRule() as rule:
@@ -120,10 +134,11 @@
 
     def _find_rejection(self, request: Request, rule: RouteRule) -> Rejection | None:
         """Return why a request of a route is not admitted, or None."""
+        expires_at, now = compute_expiry(request, rule), self._clock.monotonic()
+        if expires_at <= now:
+            return Rejection(Reason.EXPIRED)
         stop = self.stop_admission
-        if stop is not None and not stop.admits(
-            compute_expiry(request, rule), self._clock.monotonic()
-        ):
+        if stop is not None and not stop.admits(expires_at, now):
             return Rejection(Reason.STOPPING, STOPPING_RETRY_AFTER_S)
         return self._egress.find_overload(request, rule)
 
--- a/packages/node/src/cassiahatch_node/mesh/link_in.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_in.py
@@ -37,6 +37,9 @@
 SUSPENSION_GAP_S = 0.6
 """A longer gap between ticks of the event loop means that the VM was suspended. Data
 in the sockets is then of unknown age."""
+UNKNOWN_AGE_S = 0.05
+"""Time after a suspension was noticed in which data from the sockets may be from before
+or during it: the event loop reads all that waits there in its first turns."""
 BODY_MEMORY_RETRY_AFTER_S = 0.5
 """``Retry-After`` of calls whose bodies find no memory: several times the work of a
 call, after which bodies have been released."""
@@ -68,6 +71,10 @@
     connections: set[PeerConnection] = field(default_factory=set)
     ticked_at: float = float("inf")
     """Monotonic seconds of the last tick of the event loop."""
+    woke_up_at: float = float("-inf")
+    suspended_at: float = float("-inf")
+    """Monotonic seconds at which the last suspension was noticed, and of the last tick
+    before it."""
 
     def broadcast_load(self, load: Load) -> None:
         """Send the load of the backend server to all peers."""
@@ -99,8 +106,25 @@
         for connection in list(self.connections):
             connection.check(now)
 
+    def compute_earliest_sending(self, read_at: float) -> float:
+        """Return since when data may have waited in a socket until it was read.
+
+        That is about when it was read, unless the VM was suspended meanwhile.
+
+        Parameters
+        ----------
+        read_at : float
+            Monotonic seconds at which the data was read.
+        """
+        if read_at - self.ticked_at > SUSPENSION_GAP_S:
+            return self.ticked_at
+        if abs(read_at - self.woke_up_at) < UNKNOWN_AGE_S:
+            return self.suspended_at
+        return read_at
+
     def abort_links(self, gap_s: float) -> None:
         """Abort all connections, so that no call of unknown age is run."""
+        self.woke_up_at, self.suspended_at = self.clock.monotonic(), self.ticked_at
         self.journal.note("woke_up", gap_s=gap_s, links=len(self.connections))
         for connection in list(self.connections):
             connection.abort()
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -208,6 +208,7 @@
             self.metrics,
             self.journal,
             self._stopping.is_set,
+            lambda read_at: self._links.compute_earliest_sending(read_at),
         )
         self._clients = ClientServer(
             clock,
--- a/tests/test_mesh_process.py
+++ b/tests/test_mesh_process.py
@@ -16,7 +16,16 @@
 import uvloop
 
 from cassiahatch_node.mesh.__main__ import EXIT_BAD_SETTINGS
-from mesh_site import HOST, Backend, Site, make_headers, reserve_port, send
+from mesh_site import (
+    HOST,
+    Backend,
+    MessageReader,
+    Site,
+    make_headers,
+    render_request,
+    reserve_port,
+    send,
+)
 
 SETTINGS = """
 [node]
@@ -229,6 +238,54 @@
     run_scenario(scenario, tmp_path)
 
 
+SUSPENDED_S = 1.3
+SUSPENSIONS = [
+    # whether the client connects before the suspension, deadline, status
+    (True, 1200, 503),
+    (True, 8000, 200),
+    (False, 1200, 503),
+    (False, 8000, 200),
+]
+
+
+@pytest.mark.parametrize(("connects_before", "deadline_ms", "status"), SUSPENSIONS)
+def test_a_suspended_node_gives_no_request_more_time_than_is_left(
+    connects_before: bool, deadline_ms: int, status: int, tmp_path: Path
+) -> None:
+    async def scenario(process: NodeProcess) -> None:
+        host, port = process.fields["clients"].split(":")
+        if connects_before:
+            reader, writer = await asyncio.open_connection(host, int(port))
+            await asyncio.sleep(0.3)
+        process.child.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(0.05)
+        if not connects_before:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        headers = make_headers("late", deadline_ms)
+        writer.write(render_request("POST", "/read/1", headers))
+        await asyncio.sleep(SUSPENDED_S)
+        process.child.send_signal(signal.SIGCONT)
+        assert (await MessageReader(reader, False).read()).status == status
+        writer.close()
+        remaining_ms = [
+            int(arrival.message.headers["cassiahatch-deadline-ms"])
+            for arrival in process.backend.arrivals
+            if arrival.message.headers["cassiahatch-request-id"] == "late"
+        ]
+        assert len(remaining_ms) == (status == 200)
+        assert all(
+            r <= min(deadline_ms, ROUTE_TIMEOUT_MS) - 1000 * SUSPENDED_S
+            for r in remaining_ms
+        )
+        assert await process.send_request("after") == 200
+
+    run_scenario(scenario, tmp_path)
+
+
+ROUTE_TIMEOUT_MS = 3000
+"""Timeout of the routes by default."""
+
+
 def test_requests_are_served_while_nothing_reads_the_log(tmp_path: Path) -> None:
     async def scenario(process: NodeProcess) -> None:
         process.backend.script = ["fail"] * 4000
