--- a/packages/node/src/cassiahatch_node/mesh/link_in.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_in.py
@@ -203,9 +203,8 @@
 
     def check(self, now: float) -> None:
         """Drop calls that expire half received; close if a frame is overdue."""
-        for number, partial in list(self._partial_calls.items()):
-            if partial.is_expired(now):
-                self._cancel(number)
+        if self._partial_calls:
+            self._cancel_expired(now)
         if self._decoder.is_overdue(now):
             self._service.journal.note("frame_endless", peer=self._peer)
             self.abort()
@@ -316,6 +315,11 @@
         use = service.graph.compute_path_retry_use(route)
         self.write(encode_frame(ResultFrame(number, result, load, cutoff, use)))
 
+    def _cancel_expired(self, now: float) -> None:
+        for number, partial in list(self._partial_calls.items()):
+            if partial.is_expired(now):
+                self._cancel(number)
+
     def _cancel(self, number: int) -> None:
         """End a call that its caller no longer waits for."""
         self._partial_calls.pop(number, None)
--- a/packages/policies/src/cassiahatch_policies/placement.py
+++ b/packages/policies/src/cassiahatch_policies/placement.py
@@ -133,8 +133,13 @@
     """Return whether a backend server fails clearly more often than others do."""
     if endpoint.failure_rate < OUTLIER_FAILURE_RATE:
         return False
-    best = min(other.failure_rate for other in endpoints)
-    return endpoint.failure_rate > OUTLIER_FACTOR * best
+    return _fails_more(endpoint, min(other.failure_rate for other in endpoints))
+
+
+def _fails_more(endpoint: Endpoint, lowest_rate: float) -> bool:
+    """Return whether an endpoint fails clearly more often than the best one does."""
+    rate = endpoint.failure_rate
+    return rate >= OUTLIER_FAILURE_RATE and rate > OUTLIER_FACTOR * lowest_rate
 
 
 @PLUGINS.register("placement", "zone-wait")
@@ -187,7 +192,8 @@
         if not eligible:
             return None
         if len(eligible) > 1 and self._random.random() >= OUTLIER_PROBE_SHARE:
-            eligible = [e for e in eligible if not is_outlier(e, eligible)]
+            lowest_rate = min(e.failure_rate for e in eligible)
+            eligible = [e for e in eligible if not _fails_more(e, lowest_rate)]
         penalty_ms = max(MIN_ZONE_PENALTY_MS, ZONE_PENALTY_SHARE * time_to_target_ms)
         return min(
             eligible, key=lambda endpoint: self._compute_cost(endpoint, penalty_ms, now)
--- a/tests/test_mesh_policies.py
+++ b/tests/test_mesh_policies.py
@@ -471,3 +471,22 @@
     previous: Result, outcome: Result, may_have_run: bool, expected: Result
 ) -> None:
     assert combine_results(previous, outcome, may_have_run) == expected
+
+
+@pytest.mark.parametrize("count", [20, 40, 80])
+def test_the_failure_rates_are_read_in_proportion_to_the_endpoints(count: int) -> None:
+    reads = 0
+
+    class Counted(Endpoint):
+        def __getattribute__(self, name: str) -> object:
+            nonlocal reads
+            reads += name == "failure_rate"
+            return super().__getattribute__(name)
+
+    endpoints = [Counted(f"n{number}", "b", 4) for number in range(count)]
+    for endpoint in endpoints:
+        endpoint.failure_rate = 0.5
+    reads = 0
+    placement = ZoneWaitPlacement("a", random.Random(1))
+    assert placement.choose(endpoints, set(), 100.0, 1.0) is not None
+    assert reads <= 3 * count
