--- a/packages/kernel/src/cassiahatch_kernel/exchanges.py
+++ b/packages/kernel/src/cassiahatch_kernel/exchanges.py
@@ -46,7 +46,8 @@
     STOPPING = "stopping"
     """The node is stopping."""
     EXPIRED = "expired"
-    """The deadline had passed when the request was read: the VM had been suspended."""
+    """The deadline had passed when the request had been read: it was sent slowly, or the
+    VM had been suspended."""
     QUEUE_FULL = "queue_full"
     """The queue is too long for an answer in time."""
     QUEUE_EXPIRED = "queue_expired"
--- a/packages/node/src/cassiahatch_node/mesh/front_end.py
+++ b/packages/node/src/cassiahatch_node/mesh/front_end.py
@@ -126,21 +126,30 @@
 
     async def _answer(self, request: Request, is_checked: bool) -> Result:
         match self._egress.find_route(request):
+            case RouteRule() as rule if is_checked:
+                rejection = self._find_expiry(request, rule)
             case RouteRule() as rule:
-                rejection = None if is_checked else self._find_rejection(request, rule)
-                return rejection or await self._egress.serve(request, rule)
+                rejection = self._find_rejection(request, rule)
             case rejection:
                 return rejection
+        return rejection or await self._egress.serve(request, rule)
 
     def _find_rejection(self, request: Request, rule: RouteRule) -> Rejection | None:
         """Return why a request of a route is not admitted, or None."""
-        expires_at, now = compute_expiry(request, rule), self._clock.monotonic()
-        if expires_at <= now:
-            return Rejection(Reason.EXPIRED)
         stop = self.stop_admission
-        if stop is not None and not stop.admits(expires_at, now):
+        if stop is not None and not stop.admits(
+            compute_expiry(request, rule), self._clock.monotonic()
+        ):
             return Rejection(Reason.STOPPING, STOPPING_RETRY_AFTER_S)
-        return self._egress.find_overload(request, rule)
+        return self._find_expiry(request, rule) or self._egress.find_overload(
+            request, rule
+        )
+
+    def _find_expiry(self, request: Request, rule: RouteRule) -> Rejection | None:
+        """Return the rejection of a request whose deadline has passed already."""
+        if compute_expiry(request, rule) <= self._clock.monotonic():
+            return Rejection(Reason.EXPIRED)
+        return None
 
     def _render(self, request: Request, result: Result, closes: bool) -> bytes:
         match result:
--- a/packages/operator/src/cassiahatch_operator/explanation.py
+++ b/packages/operator/src/cassiahatch_operator/explanation.py
@@ -35,7 +35,7 @@
     Reason.OTHER_INSTANCE: "another process had taken the backend server's place",
     Reason.DRAINING: "the backend server was leaving",
     Reason.STOPPING: "the node was stopping",
-    Reason.EXPIRED: "its deadline may have passed while the VM was suspended",
+    Reason.EXPIRED: "its deadline had passed when it had been read",
     Reason.QUEUE_FULL: "the queue was too long to answer in time",
     Reason.QUEUE_EXPIRED: "it waited in the queue until too little time was left",
     Reason.MISDIRECTED: "another backend server had the address",
--- a/tests/test_mesh_uploads.py
+++ b/tests/test_mesh_uploads.py
@@ -164,6 +164,25 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_a_body_that_ends_after_the_deadline_is_not_run(framing: str) -> None:
+    async def scenario(site: Site) -> None:
+        await build_site(site, ["shop", "vault"])
+        host, port = site.hosts[0].client_address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        data = render_upload("r1", make_body(100_000), framing, deadline_ms=300)
+        writer.write(data[:-10])
+        await asyncio.sleep(0.5)
+        writer.write(data[-10:])
+        answer = await MessageReader(reader, False).read()
+        assert answer.status == 503
+        assert json.loads(answer.body)["error"] == Reason.EXPIRED
+        assert not list_bodies(site)
+        writer.close()
+
+    run_scenario(scenario)
+
+
 async def stop_serving(site: Site) -> None:
     admission = StopAdmission(0.0, 6.0)
     admission.is_closed = True
