--- a/packages/node/src/cassiahatch_node/mesh/frames.py
+++ b/packages/node/src/cassiahatch_node/mesh/frames.py
@@ -13,8 +13,7 @@
 
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 72 * 1024 * 1024
-"""Longest frame accepted: the largest body that a configuration may allow, with its
-head."""
+"""Longest frame accepted: above the longest answer or configuration that is sent."""
 BODY_PART_BYTES = 32 * 1024
 """Size of the parts in which large bodies are sent; other frames are sent between them."""
 FRAME_TIMEOUT_S = 10.0
--- a/packages/node/src/cassiahatch_node/mesh/front_end.py
+++ b/packages/node/src/cassiahatch_node/mesh/front_end.py
@@ -14,10 +14,10 @@
     Result,
 )
 from cassiahatch_kernel.routes import RouteRule
+from cassiahatch_node.mesh.client_connection import ClientConnection
 from cassiahatch_node.mesh.dialect import BadRequestError, Dialect
 from cassiahatch_node.mesh.egress import Egress, compute_expiry
 from cassiahatch_node.mesh.http_messages import RawRequest
-from cassiahatch_node.mesh.http_server import ClientConnection
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_policies.stop_admission import StopAdmission
@@ -127,7 +127,7 @@
     async def _answer(self, request: Request, is_checked: bool) -> Result:
         match self._egress.find_route(request):
             case RouteRule() as rule if is_checked:
-                rejection = self._find_expiry(request, rule)
+                rejection = self._find_late_rejection(request, rule)
             case RouteRule() as rule:
                 rejection = self._find_rejection(request, rule)
             case rejection:
@@ -136,19 +136,23 @@
 
     def _find_rejection(self, request: Request, rule: RouteRule) -> Rejection | None:
         """Return why a request of a route is not admitted, or None."""
-        stop = self.stop_admission
-        if stop is not None and not stop.admits(
-            compute_expiry(request, rule), self._clock.monotonic()
-        ):
-            return Rejection(Reason.STOPPING, STOPPING_RETRY_AFTER_S)
-        return self._find_expiry(request, rule) or self._egress.find_overload(
+        return self._find_late_rejection(request, rule) or self._egress.find_overload(
             request, rule
         )
 
-    def _find_expiry(self, request: Request, rule: RouteRule) -> Rejection | None:
-        """Return the rejection of a request whose deadline has passed already."""
-        if compute_expiry(request, rule) <= self._clock.monotonic():
+    def _find_late_rejection(
+        self, request: Request, rule: RouteRule
+    ) -> Rejection | None:
+        """Return why there is too little time for a request, or None if there is enough.
+
+        Its deadline may have passed, or the node stops and might end before it.
+        """
+        expires_at, now = compute_expiry(request, rule), self._clock.monotonic()
+        if expires_at <= now:
             return Rejection(Reason.EXPIRED)
+        stop = self.stop_admission
+        if stop is not None and not stop.admits(expires_at, now):
+            return Rejection(Reason.STOPPING, STOPPING_RETRY_AFTER_S)
         return None
 
     def _render(self, request: Request, result: Result, closes: bool) -> bytes:
--- a/tests/test_mesh_uploads.py
+++ b/tests/test_mesh_uploads.py
@@ -189,6 +189,25 @@
     site.hosts[0].sidecar._front_end.stop_admission = admission
 
 
+def test_a_body_that_is_complete_too_late_in_a_stop_is_not_run() -> None:
+    async def scenario(site: Site) -> None:
+        await build_site(site, ["shop", "vault"])
+        host, port = site.hosts[0].client_address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        data = render_upload("r1", make_body(100_000), "length")
+        writer.write(data[:-10])
+        await asyncio.sleep(0.1)
+        await stop_serving(site)
+        writer.write(data[-10:])
+        answer = await MessageReader(reader, False).read()
+        assert answer.status == 503
+        assert json.loads(answer.body)["error"] == Reason.STOPPING
+        assert not list_bodies(site)
+        writer.close()
+
+    run_scenario(scenario)
+
+
 async def fill_memory(site: Site) -> None:
     memory = site.hosts[0].sidecar.body_memory
     assert BodySpace(memory).try_extend(int(LARGE_SHARE * memory.max_total_bytes))
