--- a/packages/node/src/cassiahatch_node/mesh/front_end.py
+++ b/packages/node/src/cassiahatch_node/mesh/front_end.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 from cassiahatch_kernel.clock import Clock
 from cassiahatch_kernel.exchanges import (
@@ -20,7 +21,6 @@
 from cassiahatch_node.mesh.http_messages import RawRequest
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.observability.metrics import Metrics
-from cassiahatch_policies.stop_admission import StopAdmission
 
 DEFAULT_RETRY_AFTER_S = 0.2
 """``Retry-After`` of a rejection that gives no time of its own."""
@@ -57,8 +57,8 @@
         self._journal = journal
         self._is_stopping = is_stopping
         self._compute_earliest_sending = compute_earliest_sending
-        self.stop_admission: StopAdmission | None = None
-        """Admits requests while the node stops; None before."""
+        self.stop_admission: Any = None
+        """The plug-in that admits requests while the node stops; None before."""
 
     def check(self, raw: RawRequest) -> Rejection | None:
         """Return why a request whose head has been read can't be served, or None."""
--- a/packages/node/src/cassiahatch_node/mesh/own_backend.py
+++ b/packages/node/src/cassiahatch_node/mesh/own_backend.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from enum import Enum, auto
+from typing import Any
 
 import msgspec
 
 from cassiahatch_kernel.exchanges import Reason
-from cassiahatch_policies.stop_admission import StopAdmission
 
 
 class BackendState(Enum):
@@ -71,8 +71,8 @@
         has taken over its address."""
         self.is_stopping = False
         """Whether peers have been told that the node stops."""
-        self.stop_admission: StopAdmission | None = None
-        """Admits calls while the node stops; None before."""
+        self.stop_admission: Any = None
+        """The plug-in that admits calls while the node stops; None before."""
 
     def update(self, announcement: Announcement, now: float) -> bool:
         """Apply an announcement, and return whether it changed the state.
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -343,7 +343,12 @@
         self._stopping.set()
         self._clients.is_stopping = True
         await GracefulStop(
-            self._settings.stopping.grace_s,
+            PLUGINS.create(
+                "stop_admission",
+                self._settings.plugins.stop_admission,
+                self._clock.monotonic(),
+                self._settings.stopping.grace_s,
+            ),
             self.backend,
             self._front_end,
             self._servers,
--- a/packages/node/src/cassiahatch_node/mesh/settings.py
+++ b/packages/node/src/cassiahatch_node/mesh/settings.py
@@ -126,6 +126,7 @@
     retry_budget: str = "arrivals"
     rate_limit: str = "token-bucket"
     quarantine: str = "two-crashes"
+    stop_admission: str = "deadline"
 
 
 class MeshSettings(Section):
--- a/packages/node/src/cassiahatch_node/mesh/stopping.py
+++ b/packages/node/src/cassiahatch_node/mesh/stopping.py
@@ -4,12 +4,12 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from cassiahatch_kernel.clock import Clock
 from cassiahatch_node.mesh.front_end import FrontEnd
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.own_backend import OwnBackend
-from cassiahatch_policies.stop_admission import StopAdmission
 
 CLIENT_NOTICE_S = 2.3
 """Time after SIGTERM in which clients still send requests: they probe the readiness
@@ -30,8 +30,8 @@
 
     Parameters
     ----------
-    grace_s : float
-        Seconds between SIGTERM and SIGKILL.
+    admission : StopAdmission
+        The plug-in that decides which requests are still taken.
     servers : list of asyncio.Server
         Listeners for clients and peers, which close last.
     count_open : callable
@@ -54,7 +54,7 @@
 
     def __init__(
         self,
-        grace_s: float,
+        admission: Any,
         backend: OwnBackend,
         front_end: FrontEnd,
         servers: list[asyncio.Server],
@@ -63,6 +63,7 @@
         clock: Clock,
         journal: Journal,
     ) -> None:
+        self._admission = admission
         self._backend = backend
         self._front_end = front_end
         self._servers = servers
@@ -71,7 +72,6 @@
         self._clock = clock
         self._journal = journal
         self._started_at = clock.monotonic()
-        self._admission = StopAdmission(self._started_at, grace_s)
 
     async def run(self) -> None:
         """Stop the node, and return when the process may exit."""
--- a/packages/policies/src/cassiahatch_policies/stop_admission.py
+++ b/packages/policies/src/cassiahatch_policies/stop_admission.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+from cassiahatch_kernel.registry import PLUGINS
+
 NOTICE_S = 2.8
 """Time after SIGTERM in which all requests are taken. Clients probe the readiness once a
 second and stop using a node after two failed probes."""
@@ -20,6 +22,7 @@
 """Time from a deadline until the answer that it has passed is sent."""
 
 
+@PLUGINS.register("stop_admission", "deadline")
 class StopAdmission:
     """Admits requests to a node that stops.
 
