--- a/packages/node/src/cassiahatch_node/mesh/directory.py
+++ b/packages/node/src/cassiahatch_node/mesh/directory.py
@@ -162,6 +162,11 @@
         """Return whether a member's process has said that it leaves."""
         return self._leaving.get(node_id) == process
 
+    def end_calls(self) -> None:
+        """End all calls to peers, which may run on there."""
+        for link in self._links.values():
+            link.end_calls()
+
     def list_ready_links(self) -> list[PeerLink]:
         """Return the links that are ready."""
         return [link for link in self._links.values() if link.is_ready]
--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -107,6 +107,8 @@
         self._journal = journal
         self.table: RouteTable | None = None
         """The current routes; None until the node has received a configuration."""
+        self.is_ending = False
+        """Whether the process ends, so that nothing is sent any more."""
 
     def find_route(self, request: Request) -> RouteRule | Rejection:
         """Return the route of a request, or a rejection if there is none."""
@@ -360,7 +362,7 @@
     ) -> bool:
         """Return whether the request may be sent once more."""
         now = self._clock.monotonic()
-        if state.expires_at - now < MIN_RETRY_TIME_S:
+        if self.is_ending or state.expires_at - now < MIN_RETRY_TIME_S:
             return False
         rule = state.rule
         match outcome:
--- a/packages/node/src/cassiahatch_node/mesh/ingress.py
+++ b/packages/node/src/cassiahatch_node/mesh/ingress.py
@@ -261,6 +261,14 @@
                 for backend_client in list(self._backend_clients):
                     backend_client.abort()
 
+    def end_calls(self) -> None:
+        """Reject the calls that wait, and end those that run as ones that may have run."""
+        for job in self._queue.clear():
+            self._reject(job.payload, Rejection(Reason.STOPPING))
+        for arrival in list(self.running.values()):
+            arrival.reply(Indeterminate(Reason.STOPPING))
+            arrival.is_withdrawn = True
+
     def close(self) -> None:
         """Cancel all workers."""
         for task in self._workers:
--- a/packages/node/src/cassiahatch_node/mesh/link_out.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_out.py
@@ -145,11 +145,11 @@
 
     async def run(self) -> None:
         """Connect, wait until the connection is lost, and reconnect until cancelled."""
-        self._fail_pending()
+        self.end_calls()
         backoff_s = FIRST_BACKOFF_S
         while True:
             was_ready = await self._connect_and_wait()
-            self._fail_pending()
+            self.end_calls()
             if was_ready:
                 self._journal.note("link_lost", peer=self.node_id)
                 backoff_s = FIRST_BACKOFF_S
@@ -331,7 +331,8 @@
     def _send(self, frame: Frame) -> None:
         self._transport.write(encode_frame(frame))
 
-    def _fail_pending(self) -> None:
+    def end_calls(self) -> None:
+        """End the calls in progress, whose results can't be received any more."""
         pending, self._pending = self._pending, {}
         self._bodies.clear()
         for _, future in pending.values():
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -354,6 +354,7 @@
             self._servers,
             self._count_open,
             self._broadcast_load,
+            self._answer_open,
             self._clock,
             self.journal,
         ).run()
@@ -415,6 +416,12 @@
     def _is_ready(self) -> bool:
         return self.store_sync.has_configuration and not self._stopping.is_set()
 
+    def _answer_open(self) -> None:
+        """Answer all open requests, since the process ends."""
+        self.egress.is_ending = True
+        self.ingress.end_calls()
+        self.directory.end_calls()
+
     def _count_open(self) -> int:
         return self._clients.busy_count + self.ingress.open_count
 
--- a/packages/node/src/cassiahatch_node/mesh/stopping.py
+++ b/packages/node/src/cassiahatch_node/mesh/stopping.py
@@ -38,10 +38,13 @@
         Returns the number of open requests and calls.
     broadcast_load : callable
         Tells the peers whether the backend server accepts calls.
+    answer_open : callable
+        Answers the requests that are still open as ones that may have run.
     """
 
     __slots__ = (
         "_admission",
+        "_answer_open",
         "_backend",
         "_broadcast_load",
         "_clock",
@@ -60,6 +63,7 @@
         servers: list[asyncio.Server],
         count_open: Callable[[], int],
         broadcast_load: Callable[[], None],
+        answer_open: Callable[[], None],
         clock: Clock,
         journal: Journal,
     ) -> None:
@@ -69,6 +73,7 @@
         self._servers = servers
         self._count_open = count_open
         self._broadcast_load = broadcast_load
+        self._answer_open = answer_open
         self._clock = clock
         self._journal = journal
         self._started_at = clock.monotonic()
@@ -103,5 +108,8 @@
         await asyncio.sleep(IDLE_S)
         while self._count_open() and self._clock.monotonic() < self._admission.ends_at:
             await asyncio.sleep(POLL_S)
+        if self._count_open():
+            self._answer_open()
+            await asyncio.sleep(POLL_S)
         for server in self._servers:
             server.close()
--- a/tests/test_mesh_stopping.py
+++ b/tests/test_mesh_stopping.py
@@ -147,6 +147,39 @@
     run_process_scenario(scenario, tmp_path, grace=str(GRACE_S))
 
 
+def test_what_is_still_open_when_a_node_ends_is_answered(tmp_path: Path) -> None:
+    async def scenario(process: NodeProcess) -> None:
+        routes = {"order": {"prefix": "/order/", "service": "books", "timeout_s": 20}}
+        process.site.configure(routes)
+        other = await process.site.add_host("books", slots=20)
+        backends = process.backend, other.backend
+        while not other.backend.arrivals:
+            await asyncio.gather(
+                *(process.send_request(f"w{n}", "/order/1") for n in range(8))
+            )
+        cases = {f"r{number}": Case(0.0, 15_000, 9.0, 502) for number in range(8)}
+        for backend in backends:
+            set_work(backend, cases)
+        clients = {name: Client(process) for name in cases}
+        sending = [
+            asyncio.create_task(clients[name].send(case, name))
+            for name, case in cases.items()
+        ]
+        await asyncio.sleep(0.3)
+        process.child.send_signal(signal.SIGTERM)
+        answers = await asyncio.gather(*sending)
+        assert [answer.status for answer in answers] == [502] * len(cases)
+        assert await process.child.wait() == 0
+        names = [
+            arrival.message.headers["cassiahatch-request-id"]
+            for backend in backends
+            for arrival in backend.arrivals
+        ]
+        assert all(names.count(name) <= 1 for name in cases)
+
+    run_process_scenario(scenario, tmp_path, grace="3")
+
+
 ADMISSIONS = [
     # grace, seconds since SIGTERM, seconds until the deadline, whether admitted
     (10.0, 0.0, 60.0, True),
