--- a/tests/test_mesh_uploads.py
+++ b/tests/test_mesh_uploads.py
@@ -164,59 +164,58 @@
     run_scenario(scenario)
 
 
-@pytest.mark.parametrize("framing", ["length", "chunked"])
-def test_a_body_that_ends_after_the_deadline_is_not_run(framing: str) -> None:
-    async def scenario(site: Site) -> None:
-        await build_site(site, ["shop", "vault"])
-        host, port = site.hosts[0].client_address.split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        data = render_upload("r1", make_body(100_000), framing, deadline_ms=300)
-        writer.write(data[:-10])
-        await asyncio.sleep(0.5)
-        writer.write(data[-10:])
-        answer = await MessageReader(reader, False).read()
-        assert answer.status == 503
-        assert json.loads(answer.body)["error"] == Reason.EXPIRED
-        assert not list_bodies(site)
-        writer.close()
-
-    run_scenario(scenario)
-
-
 async def stop_serving(site: Site) -> None:
     admission = StopAdmission(0.0, 6.0)
     admission.is_closed = True
     site.hosts[0].sidecar._front_end.stop_admission = admission
 
 
-def test_a_body_that_is_complete_too_late_in_a_stop_is_not_run() -> None:
+async def fill_memory(site: Site) -> None:
+    memory = site.hosts[0].sidecar.body_memory
+    assert BodySpace(memory).try_extend(int(LARGE_SHARE * memory.max_total_bytes))
+
+
+async def change_nothing(site: Site) -> None:
+    """Leave the node as it is."""
+
+
+async def pass_deadline(site: Site) -> None:
+    await asyncio.sleep(0.5)
+
+
+LATE_BODIES = [
+    # what happens while the body is read, deadline, reason
+    (pass_deadline, 300, Reason.EXPIRED),
+    (stop_serving, 5000, Reason.STOPPING),
+]
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@pytest.mark.parametrize(("event", "deadline_ms", "reason"), LATE_BODIES)
+def test_a_body_that_is_complete_too_late_is_not_run(
+    event: Callable[[Site], Awaitable[None]],
+    deadline_ms: int,
+    reason: Reason,
+    framing: str,
+) -> None:
     async def scenario(site: Site) -> None:
         await build_site(site, ["shop", "vault"])
         host, port = site.hosts[0].client_address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        data = render_upload("r1", make_body(100_000), "length")
+        data = render_upload("r1", make_body(100_000), framing, deadline_ms)
         writer.write(data[:-10])
         await asyncio.sleep(0.1)
-        await stop_serving(site)
+        await event(site)
         writer.write(data[-10:])
         answer = await MessageReader(reader, False).read()
         assert answer.status == 503
-        assert json.loads(answer.body)["error"] == Reason.STOPPING
+        assert json.loads(answer.body)["error"] == reason
         assert not list_bodies(site)
         writer.close()
 
     run_scenario(scenario)
 
 
-async def fill_memory(site: Site) -> None:
-    memory = site.hosts[0].sidecar.body_memory
-    assert BodySpace(memory).try_extend(int(LARGE_SHARE * memory.max_total_bytes))
-
-
-async def change_nothing(site: Site) -> None:
-    """Leave the node as it is."""
-
-
 EXPECTATIONS = [
     # situation, target, announced size, status
     (change_nothing, "/upload/1", 200_000, 100),
