Log each answer that does not reach its client whole

Cause: a run whose answer was cut at the end of the process, and one whose answer was whole, left the same lines, and a client that left early left none, so that the hypotheses could not be told apart. No logic changes.

--- a/packages/node/src/cassiahatch_node/mesh/client_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/client_connection.py
@@ -12,6 +12,7 @@
 from cassiahatch_kernel.exchanges import Reason, Rejection
 from cassiahatch_kernel.routes import Limits
 from cassiahatch_node.mesh.body_memory import LARGE_BODY_BYTES, BodySpace
+from cassiahatch_node.mesh.delivery import Delivery
 from cassiahatch_node.mesh.http_messages import RawHeaders, RawRequest
 
 if TYPE_CHECKING:
@@ -54,6 +55,7 @@
         "_requests",
         "_space",
         "_wanted_bytes",
+        "_delivery",
         "_drained",
         "_server",
         "_target",
@@ -64,6 +66,7 @@
         "_request_ready",
         "closes",
         "last_data_at",
+        "request_id",
     )
 
     def __init__(self, server: ClientServer) -> None:
@@ -92,10 +95,13 @@
         """Bytes that the client had not read at the last check."""
         self.closes = False
         """Whether the connection is closed after the current response."""
+        self.request_id = ""
+        """Id of the request that is served, or was served last."""
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the connection and start its task."""
         self._transport = transport
+        self._delivery = Delivery(transport)
         self.last_data_at = self._server.clock.monotonic()
         self._server.connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self.run())
@@ -104,6 +110,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the task, since no response can be delivered."""
         self._server.connections.discard(self)
+        self.report_undelivered("client_left")
+        self._delivery.close()
         self._task.cancel()
         self._stop_waiting_for_memory()
         self._release_memory()
@@ -171,6 +179,7 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes to the client."""
+        self._delivery.record_write()
         self._transport.write(data)
 
     @property
@@ -215,8 +224,23 @@
             self._unread_bytes = unread_bytes
             self.last_data_at = now
         elif now - self.last_data_at >= limits.idle_timeout_s:
+            self.report_undelivered("not_read")
             self._transport.abort()
 
+    def report_undelivered(self, reason: str) -> None:
+        """Report an answer that the client has not received, if there is one.
+
+        Parameters
+        ----------
+        reason : str
+            Why the client will not receive it.
+        """
+        is_open = self._is_busy or not self._delivery.is_complete
+        if self.request_id and is_open:
+            pending_bytes = self._delivery.count_pending_bytes()
+            self._server.on_undelivered(self.request_id, reason, pending_bytes)
+            self.request_id = ""
+
     def on_message_begin(self) -> None:
         """Reset the parser state for a new request."""
         self._message_began_at = self.last_data_at
--- a/packages/node/src/cassiahatch_node/mesh/front_end.py
+++ b/packages/node/src/cassiahatch_node/mesh/front_end.py
@@ -85,6 +85,7 @@
             self._journal.trace("bad_request", error=str(error))
             self.reject(connection, Rejection(Reason.BAD_REQUEST))
             return
+        connection.request_id = request.id
         result = await self._answer(request, raw.is_checked)
         if self._is_stopping():
             connection.closes = True
@@ -123,6 +124,18 @@
         status = find_status(rejection)
         connection.write(self._dialect.encode_failure(status, "", rejection, True))
 
+    def record_undelivered(
+        self, request_id: str, reason: str, pending_bytes: int
+    ) -> None:
+        """Log and count an answer that its client has not received."""
+        self._metrics.count(f"undelivered_answers:{reason}")
+        self._journal.trace(
+            "answer_undelivered",
+            request=request_id,
+            reason=reason,
+            pending_bytes=pending_bytes,
+        )
+
     def _decode(self, raw: RawRequest) -> Request:
         """Decode a request, dated to when its client may have sent it.
 
--- a/packages/node/src/cassiahatch_node/mesh/http_server.py
+++ b/packages/node/src/cassiahatch_node/mesh/http_server.py
@@ -40,6 +40,9 @@
         Accounts for the bodies that the node holds.
     on_error : callable
         Called with the exception of a connection task that failed.
+    on_undelivered : callable
+        Called with the request id of an answer that its client has not received, the
+        reason, and the number of its bytes that were on their way.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         reject: Reject,
         body_memory: BodyMemory,
         on_error: Callable[[BaseException], None],
+        on_undelivered: Callable[[str, str, int], None],
     ) -> None:
         self.clock = clock
         self.limits = limits
@@ -62,6 +66,7 @@
         self.waiting_for_memory: deque[ClientConnection] = deque()
         """Connections with a body that waits for memory, in order of arrival."""
         self.on_error = on_error
+        self.on_undelivered = on_undelivered
         self.connections: set[ClientConnection] = set()
         self.is_stopping = False
 
@@ -88,6 +93,11 @@
         """Number of connections with a request in progress."""
         return sum(connection.is_busy for connection in self.connections)
 
+    def report_undelivered(self, reason: str) -> None:
+        """Report the answers that clients have not received when the process ends."""
+        for connection in self.connections:
+            connection.report_undelivered(reason)
+
     async def sweep(self) -> None:
         """Check all connections for timeouts periodically, until cancelled."""
         while True:
--- a/packages/node/src/cassiahatch_node/mesh/ingress.py
+++ b/packages/node/src/cassiahatch_node/mesh/ingress.py
@@ -418,6 +418,8 @@
         self._record_result(arrival, result)
         if not arrival.is_withdrawn:
             arrival.reply(result)
+        elif isinstance(result, Reply):
+            self.record_undelivered(arrival.call.id, "withdrawn")
 
     async def _forward(
         self, arrival: Arrival, backend_client: BackendClient, expires_at: float
@@ -455,6 +457,11 @@
                     withdrawn=arrival.is_withdrawn,
                 )
 
+    def record_undelivered(self, request_id: str, reason: str) -> None:
+        """Log and count a reply of the backend server that its caller does not get."""
+        self._metrics.count(f"undelivered_answers:{reason}")
+        self._journal.trace("answer_undelivered", request=request_id, reason=reason)
+
     def _schedule_crash_check(self) -> None:
         """Start a probe to determine whether a lost call was due to a backend crash."""
         now = self._clock.monotonic()
--- a/packages/node/src/cassiahatch_node/mesh/link_in.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_in.py
@@ -202,7 +202,7 @@
         self._partial_calls.clear()
         for number in list(self._spaces):
             self._release(number)
-        self._unsent_replies.clear()
+        self._report_undelivered(self._unsent_replies.clear(), "link_lost")
 
     def pause_writing(self) -> None:
         """Send no more parts of bodies while the write buffer is full."""
@@ -241,7 +241,7 @@
         """Drop calls and replies that expire half sent; close if a frame is overdue."""
         if self._partial_calls:
             self._cancel_expired(now)
-        self._unsent_replies.drop_expired(now)
+        self._report_undelivered(self._unsent_replies.drop_expired(now), "expired")
         if self._decoder.is_overdue(now):
             self._service.journal.note("frame_endless", peer=self._peer)
             self.abort()
@@ -332,7 +332,7 @@
             if self._jobs.pop(number, None) is not None:
                 self._release(number)
                 expires_at = received_at + call.remaining_ms / MS_PER_S
-                self._send_result(number, call.route, result, expires_at)
+                self._send_result(number, call, result, expires_at)
 
         job = self._service.ingress.make_job(call, reply, received_at)
         self._jobs[number] = job
@@ -347,21 +347,21 @@
             held_bytes=service.body_memory.held_bytes,
         )
         rejection = Rejection(Reason.BODY_MEMORY_FULL, BODY_MEMORY_RETRY_AFTER_S, True)
-        self._send_result(number, call.route, rejection, 0.0)
+        self._send_result(number, call, rejection, 0.0)
 
     def _send_result(
-        self, number: int, route: str, result: Result, expires_at: float
+        self, number: int, call: Call, result: Result, expires_at: float
     ) -> None:
         """Send a result; a large reply keeps its body until the peer asks for that."""
         service, size = self._service, 0
         match result:
             case Reply(body=body) if len(body) > LARGE_ANSWER_BYTES:
                 size = len(body)
-                self._unsent_replies.add(number, body, expires_at)
+                self._unsent_replies.add(number, call.id, body, expires_at)
                 result = msgspec.structs.replace(result, body=b"")
         load = service.ingress.load
-        cutoff = service.graph.compute_path_cutoff(route)
-        use = service.graph.compute_path_retry_use(route)
+        cutoff = service.graph.compute_path_cutoff(call.route)
+        use = service.graph.compute_path_retry_use(call.route)
         self.write(encode_frame(ResultFrame(number, result, load, cutoff, use, size)))
 
     def _send_body_parts(self) -> None:
@@ -372,6 +372,10 @@
                 return
             self.write(encode_frame(part))
 
+    def _report_undelivered(self, request_ids: list[str], reason: str) -> None:
+        for request_id in request_ids:
+            self._service.ingress.record_undelivered(request_id, reason)
+
     def _cancel_expired(self, now: float) -> None:
         for number, partial in list(self._partial_calls.items()):
             if partial.is_expired(now):
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -223,6 +223,7 @@
             self._front_end.reject,
             self.body_memory,
             lambda error: self.journal.note("connection_failed", error=repr(error)),
+            self._front_end.record_undelivered,
         )
         self._announcement_handler = AnnouncementHandler(
             self.backend,
@@ -366,6 +367,7 @@
             self._clock,
             self.journal,
         ).run()
+        self._clients.report_undelivered("stopped")
 
     async def _tick(self) -> None:
         while True:
--- a/packages/node/src/cassiahatch_node/mesh/unsent_replies.py
+++ b/packages/node/src/cassiahatch_node/mesh/unsent_replies.py
@@ -13,6 +13,7 @@
 class UnsentReply:
     """The body of a large reply, of which the peer has not got everything."""
 
+    request_id: str
     rest: memoryview
     expires_at: float
     """Deadline of the call in monotonic seconds."""
@@ -39,10 +40,12 @@
     def __len__(self) -> int:
         return len(self._replies)
 
-    def add(self, number: int, body: bytes, expires_at: float) -> None:
+    def add(self, number: int, request_id: str, body: bytes, expires_at: float) -> None:
         """Keep a body until the peer takes it, or its call expires."""
         space = self._memory.hold(len(body))
-        self._replies[number] = UnsentReply(memoryview(body), expires_at, space)
+        self._replies[number] = UnsentReply(
+            request_id, memoryview(body), expires_at, space
+        )
 
     def take(self, number: int) -> None:
         """Let a body be sent: the peer has memory for it."""
@@ -70,13 +73,17 @@
         if reply is not None:
             reply.space.release()
 
-    def drop_expired(self, now: float) -> None:
-        """Drop the bodies whose calls have expired."""
-        for number, reply in list(self._replies.items()):
-            if now > reply.expires_at:
-                self.drop(number)
-
-    def clear(self) -> None:
-        """Drop all bodies."""
-        for number in list(self._replies):
+    def drop_expired(self, now: float) -> list[str]:
+        """Drop the bodies whose calls have expired; return the ids of their requests."""
+        expired = [
+            (number, reply.request_id)
+            for number, reply in self._replies.items()
+            if now > reply.expires_at
+        ]
+        for number, _ in expired:
             self.drop(number)
+        return [request_id for _, request_id in expired]
+
+    def clear(self) -> list[str]:
+        """Drop all bodies; return the ids of their requests."""
+        return self.drop_expired(float("inf"))
