Answer the pipelined requests that a stopping node has read

Change: an answer closes the connection only if no further request, nor a part of one, has been read; requests that come after that cross the close and are not read. A failed request behind a closing answer gets no second answer.

--- a/packages/node/src/cassiahatch_node/mesh/client_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/client_connection.py
@@ -153,7 +153,7 @@
                 if self.closes:
                     break
                 await self.drain()
-            if self._failure is not None:
+            if self._failure is not None and not self.closes:
                 await self._reject(self._failure)
         finally:
             self._is_busy = False
@@ -163,7 +163,7 @@
         request, space = self._requests.popleft()
         self._update_reading()
         with space or nullcontext():
-            self.closes = not request.keeps_alive or self._server.is_stopping
+            self.closes = not request.keeps_alive
             await self._server.serve(self, request)
 
     async def _reject(self, rejection: Rejection) -> None:
@@ -196,11 +196,12 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request is being received, queued, served or its answer read."""
-        return (
-            self._is_busy
-            or bool(self._requests)
-            or self._request_started_at is not None
-        )
+        return self._is_busy or self.has_next_request
+
+    @property
+    def has_next_request(self) -> bool:
+        """Whether another request, or a part of it, has been read."""
+        return bool(self._requests) or self._request_started_at is not None
 
     def check_timeouts(self, now: float, limits: Limits) -> None:
         """Close an idle connection, or fail one that sends a request too slowly."""
--- a/packages/node/src/cassiahatch_node/mesh/front_end.py
+++ b/packages/node/src/cassiahatch_node/mesh/front_end.py
@@ -87,7 +87,7 @@
             return
         connection.request_id = request.id
         result = await self._answer(request, raw.is_checked)
-        if self._is_stopping():
+        if self._is_stopping() and not connection.has_next_request:
             connection.closes = True
         self._record_result(request, result)
         data = self._render(request, result, connection.closes)
--- a/packages/node/src/cassiahatch_node/mesh/http_server.py
+++ b/packages/node/src/cassiahatch_node/mesh/http_server.py
@@ -68,7 +68,6 @@
         self.on_error = on_error
         self.on_undelivered = on_undelivered
         self.connections: set[ClientConnection] = set()
-        self.is_stopping = False
 
     async def listen(self, host: str, port: int, backlog: int) -> asyncio.Server:
         """Start to accept connections."""
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -350,7 +350,6 @@
     async def stop(self) -> None:
         """Stop gracefully: finish the open requests, and serve or reject new ones."""
         self._stopping.set()
-        self._clients.is_stopping = True
         await GracefulStop(
             PLUGINS.create(
                 "stop_admission",
