Read a rejected request until its client closes

Callers saw: a client that sends its whole body before it reads got a reset in place of its 413 when the body took longer than a second, or had a pause of more than a second. Change: they are read and dropped until the client closes, sends nothing for 5 s, or 30 s have passed.

--- a/packages/node/src/cassiahatch_node/mesh/client_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/client_connection.py
@@ -29,9 +29,12 @@
 client is not read from."""
 MEMORY_RETRY_AFTER_S = 0.5
 """``Retry-After`` of requests whose bodies find no memory."""
-LINGER_S = 1.0
-"""Time for which bytes of a rejected request are read and dropped. Closing at once would
-reset the connection, and the client might never see the response."""
+LINGER_S = 5.0
+"""Time without a byte of a rejected request after which its connection is closed. Closing
+it while the client sends would reset it, and the client might never see the response."""
+MAX_LINGER_S = 30.0
+"""Longest time for which the bytes of a rejected request are read and dropped."""
+LINGER_CHECK_S = 0.5
 
 
 class ClientConnection(asyncio.Protocol):
@@ -175,7 +178,14 @@
         self._update_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        await asyncio.sleep(LINGER_S)
+        ends_at = self._server.clock.monotonic() + MAX_LINGER_S
+        while self._is_lingering(ends_at):
+            await asyncio.sleep(LINGER_CHECK_S)
+
+    def _is_lingering(self, ends_at: float) -> bool:
+        """Return whether the rest of a rejected request may still arrive."""
+        now = self._server.clock.monotonic()
+        return now - self.last_data_at < LINGER_S and now < ends_at
 
     def write(self, data: bytes) -> None:
         """Send bytes to the client."""
