Deliver all answers before connections are closed and the process ends

Callers saw: a client on a link with a small window that read its answer late, within its deadline, got 122,120 bytes of 123,000 and the end of the connection when its node stopped (LOST: planned work, SIGTERM). Results of 20,000 bytes and more on a link whose peer read late were cut in the same way, and answered 502 by the node of the client. Cause: what is open was judged by the node's own objects: a connection counted while a task served it or its transport was paused. Class: an end that asks whether the sender is done, not whether the receiver has got it. Change: a connection is open until its other end has acknowledged what was written (Delivery): clients' connections, also those that close in calm, and links. A stop waits for that until 0.97 of the grace period, and for control requests that wait for the store. Then each connection ends before the process does: nothing more is read, FIN is sent, and bytes that cross it are left unread, so that they are never passed on; peers get the time to close links. A request that is half read at the end is answered 503. The transport of the virtual loop gets two methods of asyncio's transports that the node now calls.

--- a/packages/node/src/cassiahatch_node/mesh/client_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/client_connection.py
@@ -29,12 +29,17 @@
 client is not read from."""
 MEMORY_RETRY_AFTER_S = 0.5
 """``Retry-After`` of requests whose bodies find no memory."""
+STOPPING_RETRY_AFTER_S = 1.5
+"""``Retry-After`` while the node shuts down: the time until its next process accepts
+requests."""
 LINGER_S = 5.0
 """Time without a byte of a rejected request after which its connection is closed. Closing
 it while the client sends would reset it, and the client might never see the response."""
 MAX_LINGER_S = 30.0
 """Longest time for which the bytes of a rejected request are read and dropped."""
-LINGER_CHECK_S = 0.5
+DELIVERY_CHECK_S = (0.01, 0.5)
+"""Bounds of the pause between two checks of whether a client has got its last answer,
+doubled each time."""
 
 
 class ClientConnection(asyncio.Protocol):
@@ -49,6 +54,8 @@
         "_headers",
         "_is_busy",
         "_is_checked",
+        "_is_delivering",
+        "_is_ending",
         "_is_in_body",
         "_is_in_header",
         "_is_paused",
@@ -91,13 +98,17 @@
         self._is_in_body = False
         """Whether a head has been read and its body has not."""
         self._is_paused = False
+        self._is_ending = False
+        """Whether no more requests are read."""
+        self._is_delivering = False
+        """Whether the last response has been written, or there will be none."""
         self._header_size = 0
         self._unfinished_size = 0
         """Bytes received of an incomplete header, without its first segment."""
         self._unread_bytes = 0
         """Bytes that the client had not read at the last check."""
         self.closes = False
-        """Whether the connection is closed after the current response."""
+        """Whether the current response is the last one."""
         self.request_id = ""
         """Id of the request that is served, or was served last."""
 
@@ -122,7 +133,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received data and enforce the header size limit."""
         self.last_data_at = self._server.clock.monotonic()
-        if self._failure is not None:
+        if self._failure is not None or self._is_ending or self._is_delivering:
             return
         if self._request_started_at is None:
             self._request_started_at = self.last_data_at
@@ -157,7 +168,8 @@
                     break
                 await self.drain()
             if self._failure is not None and not self.closes:
-                await self._reject(self._failure)
+                self._reject(self._failure)
+            await self._deliver()
         finally:
             self._is_busy = False
             self._transport.close()
@@ -169,23 +181,45 @@
             self.closes = not request.keeps_alive
             await self._server.serve(self, request)
 
-    async def _reject(self, rejection: Rejection) -> None:
+    def _reject(self, rejection: Rejection) -> None:
         """Respond to a request that is not read, and drop what still arrives of it."""
         head = self._make_request() if self._is_in_body else None
         self._server.reject(self, rejection, head)
         self._request_started_at = None
         self._release_memory()
         self._update_reading()
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
+
+    async def _deliver(self) -> None:
+        """Wait until the client has got the last response.
+
+        If the connection were closed earlier, the end of the process or a reset could
+        take what is on its way. The client of a rejected request may read the response
+        only when it has sent everything, so that is read until it closes.
+        """
+        if self._transport.is_closing():
+            return
+        self._is_delivering = True
+        self._update_reading()
+        self._transport.write_eof()
         ends_at = self._server.clock.monotonic() + MAX_LINGER_S
-        while self._is_lingering(ends_at):
-            await asyncio.sleep(LINGER_CHECK_S)
+        pause_s, max_pause_s = DELIVERY_CHECK_S
+        while not self._delivery.is_complete or self._is_lingering(ends_at):
+            await asyncio.sleep(pause_s)
+            pause_s = min(max_pause_s, 2 * pause_s)
 
     def _is_lingering(self, ends_at: float) -> bool:
         """Return whether the rest of a rejected request may still arrive."""
         now = self._server.clock.monotonic()
-        return now - self.last_data_at < LINGER_S and now < ends_at
+        is_sending = now - self.last_data_at < LINGER_S
+        return self._failure is not None and is_sending and now < ends_at
+
+    def end(self) -> None:
+        """Read no more requests, and close after the response to those that were read."""
+        if self._request_started_at is not None:
+            self._fail(Reason.STOPPING, STOPPING_RETRY_AFTER_S)
+        self._is_ending = True
+        self._update_reading()
+        self._wake_task()
 
     def write(self, data: bytes) -> None:
         """Send bytes to the client."""
@@ -206,19 +240,25 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request is being received, queued, served or its answer read."""
-        return self._is_busy or self.has_next_request
+        return (
+            self._is_busy
+            or self.has_next_request
+            or self._failure is not None
+            or not self._delivery.is_complete
+        )
 
     @property
     def has_next_request(self) -> bool:
-        """Whether another request, or a part of it, has been read."""
-        return bool(self._requests) or self._request_started_at is not None
+        """Whether another request has been read, or a part of it that is read on."""
+        is_receiving = self._request_started_at is not None and not self._is_ending
+        return bool(self._requests) or is_receiving
 
     def check_timeouts(self, now: float, limits: Limits) -> None:
         """Close an idle connection, or fail one that sends a request too slowly."""
-        if self._drained is not None:
+        if self._drained is not None or self._is_delivering:
             self._check_reader(now, limits)
             return
-        if self._is_busy or self._requests:
+        if self._is_busy or self._requests or self._failure is not None:
             return
         if self._request_started_at is None:
             if now - self.last_data_at >= limits.idle_timeout_s:
@@ -229,14 +269,22 @@
                 self._fail(Reason.SLOW_REQUEST)
 
     def _check_reader(self, now: float, limits: Limits) -> None:
-        """Abort a connection whose client has read nothing for the idle timeout."""
-        unread_bytes = self._transport.get_write_buffer_size()
+        """Close a connection whose client has read nothing for the idle timeout.
+
+        What the kernel holds is still sent, but not what the process holds.
+        """
+        if self._delivery.is_complete:
+            return
+        unread_bytes = self._delivery.count_pending_bytes()
         if unread_bytes != self._unread_bytes:
             self._unread_bytes = unread_bytes
             self.last_data_at = now
         elif now - self.last_data_at >= limits.idle_timeout_s:
             self.report_undelivered("not_read")
-            self._transport.abort()
+            if self._transport.get_write_buffer_size():
+                self._transport.abort()
+            else:
+                self._transport.close()
 
     def report_undelivered(self, reason: str) -> None:
         """Report an answer that the client has not received, if there is one.
@@ -354,7 +402,7 @@
 
     async def _wait_for_request(self) -> bool:
         """Wait for a request; return False if the connection is to be closed instead."""
-        if not self._requests and self._failure is None:
+        if not (self._requests or self._failure is not None or self._is_ending):
             self._request_ready = asyncio.get_running_loop().create_future()
             await self._request_ready
         return bool(self._requests)
@@ -409,7 +457,9 @@
 
     def _update_reading(self) -> None:
         """Pause reading while a body waits for memory, or many requests wait."""
-        pauses = bool(self._wanted_bytes) or len(self._requests) >= MAX_PIPELINED
+        is_full = bool(self._wanted_bytes) or len(self._requests) >= MAX_PIPELINED
+        is_last = self._is_ending or self._is_delivering
+        pauses = is_full or (is_last and self._failure is None)
         if pauses is self._is_paused or self._transport.is_closing():
             return
         self._is_paused = pauses
--- a/packages/node/src/cassiahatch_node/mesh/control_server.py
+++ b/packages/node/src/cassiahatch_node/mesh/control_server.py
@@ -38,6 +38,8 @@
     is_ready: Callable[[], bool]
     handle_announcement: Callable[[Announcement], Awaitable[bool]]
     handle_leave: Callable[[str], Awaitable[bool]]
+    open_count: int = 0
+    """Number of requests that have not been answered."""
 
 
 def start_control_server(
@@ -53,7 +55,7 @@
     """
     server = HTTPServer(
         lambda request: asyncio.ensure_future(
-            _handle_request(service, request, takes_announcements)
+            _serve_request(service, request, takes_announcements)
         ),
         max_body_size=MAX_BODY_BYTES,
     )
@@ -61,6 +63,16 @@
     return server
 
 
+async def _serve_request(
+    service: ControlService, request: HTTPServerRequest, takes_announcements: bool
+) -> None:
+    service.open_count += 1
+    try:
+        await _handle_request(service, request, takes_announcements)
+    finally:
+        service.open_count -= 1
+
+
 async def _handle_request(
     service: ControlService, request: HTTPServerRequest, takes_announcements: bool
 ) -> None:
--- a/packages/node/src/cassiahatch_node/mesh/front_end.py
+++ b/packages/node/src/cassiahatch_node/mesh/front_end.py
@@ -16,7 +16,10 @@
 )
 from cassiahatch_kernel.routes import RouteRule
 from cassiahatch_node.mesh.answer_memory import AnswerMemory
-from cassiahatch_node.mesh.client_connection import ClientConnection
+from cassiahatch_node.mesh.client_connection import (
+    STOPPING_RETRY_AFTER_S,
+    ClientConnection,
+)
 from cassiahatch_node.mesh.dialect import BadRequestError, Dialect
 from cassiahatch_node.mesh.egress import Egress, compute_expiry
 from cassiahatch_node.mesh.http_messages import RawRequest
@@ -25,9 +28,6 @@
 
 DEFAULT_RETRY_AFTER_S = 0.2
 """``Retry-After`` of a rejection that gives no time of its own."""
-STOPPING_RETRY_AFTER_S = 1.5
-"""``Retry-After`` while the node shuts down: the time until its next process accepts
-requests."""
 
 
 class FrontEnd:
--- a/packages/node/src/cassiahatch_node/mesh/http_server.py
+++ b/packages/node/src/cassiahatch_node/mesh/http_server.py
@@ -92,6 +92,11 @@
         """Number of connections with a request in progress."""
         return sum(connection.is_busy for connection in self.connections)
 
+    def end(self) -> None:
+        """Read no more requests, and close each connection after its last response."""
+        for connection in self.connections:
+            connection.end()
+
     def report_undelivered(self, reason: str) -> None:
         """Report the answers that clients have not received when the process ends."""
         for connection in self.connections:
--- a/packages/node/src/cassiahatch_node/mesh/link_in.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_in.py
@@ -20,6 +20,7 @@
 from cassiahatch_node.mesh.answer_memory import LARGE_ANSWER_BYTES, AnswerMemory
 from cassiahatch_node.mesh.body_memory import BodyMemory, BodySpace
 from cassiahatch_node.mesh.call_graph import CallGraph
+from cassiahatch_node.mesh.delivery import Delivery
 from cassiahatch_node.mesh.frames import (
     LINK_VERSION,
     BadFrameError,
@@ -88,9 +89,14 @@
     before it."""
 
     @property
-    def unsent_count(self) -> int:
-        """Number of large replies that have not been sent to their callers."""
-        return sum(connection.unsent_count for connection in self.connections)
+    def open_count(self) -> int:
+        """Number of peers that send a call, or have not got all results."""
+        return sum(connection.is_open for connection in self.connections)
+
+    def end(self) -> None:
+        """Take no more calls, and let the peers close their connections."""
+        for connection in self.connections:
+            connection.end()
 
     def broadcast_load(self, load: Load) -> None:
         """Send the load of the backend server to all peers."""
@@ -166,6 +172,8 @@
 
     __slots__ = (
         "_decoder",
+        "_delivery",
+        "_is_ending",
         "_is_writable",
         "_jobs",
         "_partial_calls",
@@ -186,16 +194,20 @@
         self._unsent_replies = UnsentReplies(service.answer_memory)
         self._is_writable = True
         """Whether the peer reads fast enough for more parts of bodies."""
+        self._is_ending = False
+        """Whether no more frames are read or written."""
         self._peer = ""
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the connection."""
         self._transport = transport
+        self._delivery = Delivery(transport)
         self._service.connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Withdraw the calls in progress, whose results can't be delivered."""
         self._service.connections.discard(self)
+        self._delivery.close()
         jobs, self._jobs = self._jobs, {}
         for job in jobs.values():
             self._service.ingress.withdraw(job)
@@ -214,9 +226,17 @@
         self._send_body_parts()
 
     @property
-    def unsent_count(self) -> int:
-        """Number of large replies that have not been sent."""
-        return len(self._unsent_replies)
+    def is_open(self) -> bool:
+        """Whether the peer sends the body of a call, or has not got all results."""
+        return bool(self._partial_calls or self._unsent_replies) or not (
+            self._delivery.is_complete
+        )
+
+    def end(self) -> None:
+        """Take no more calls, and close after the results that have been written."""
+        self._is_ending = True
+        if not self._transport.is_closing():
+            self._transport.write_eof()
 
     def data_received(self, data: bytes) -> None:
         """Decode and handle the frames received.
@@ -224,6 +244,8 @@
         If the first data after a suspension arrives before the tick that would detect
         it, the data is dropped and all links are aborted.
         """
+        if self._is_ending:
+            return
         service = self._service
         now = service.clock.monotonic()
         gap_s = now - service.ticked_at
@@ -248,7 +270,12 @@
 
     def write(self, data: bytes) -> None:
         """Send encoded frames to the peer."""
-        self._transport.write(data)
+        if not self._is_ending:
+            self._transport.write(data)
+
+    def _write_result(self, data: bytes) -> None:
+        self._delivery.record_write()
+        self.write(data)
 
     def abort(self) -> None:
         """Close the connection without flushing what is buffered."""
@@ -362,7 +389,8 @@
         load = service.ingress.load
         cutoff = service.graph.compute_path_cutoff(call.route)
         use = service.graph.compute_path_retry_use(call.route)
-        self.write(encode_frame(ResultFrame(number, result, load, cutoff, use, size)))
+        frame = ResultFrame(number, result, load, cutoff, use, size)
+        self._write_result(encode_frame(frame))
 
     def _send_body_parts(self) -> None:
         """Send parts of the bodies in turns, while the peer reads them."""
@@ -370,7 +398,7 @@
             part = self._unsent_replies.next_part()
             if part is None:
                 return
-            self.write(encode_frame(part))
+            self._write_result(encode_frame(part))
 
     def _report_undelivered(self, request_ids: list[str], reason: str) -> None:
         for request_id in request_ids:
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -330,7 +330,7 @@
         )
         stack.callback(links.close)
         self._servers.append(links)
-        service = ControlService(
+        self._control = ControlService(
             PLUGINS.create("announcements", self._settings.plugins.announcements),
             self.metrics,
             self.journal,
@@ -343,7 +343,7 @@
             addresses.add(f"{split_address(node.peers)[0]}:{node.metrics_port}")
         for address in sorted(addresses):
             control = start_control_server(
-                service, *split_address(address), address == node.announcements
+                self._control, *split_address(address), address == node.announcements
             )
             stack.callback(control.stop)
 
@@ -363,6 +363,8 @@
             self._count_open,
             self._broadcast_load,
             self._answer_open,
+            self._end_connections,
+            lambda: len(self._links.connections),
             self._clock,
             self.journal,
         ).run()
@@ -425,11 +427,16 @@
         self.ingress.end_calls()
         self.directory.end_calls()
 
+    def _end_connections(self) -> None:
+        self._clients.end()
+        self._links.end()
+
     def _count_open(self) -> int:
         return (
             self._clients.busy_count
             + self.ingress.open_count
-            + self._links.unsent_count
+            + self._links.open_count
+            + self._control.open_count
         )
 
     def _start_task(self, run: Callable[[], Awaitable[None]]) -> None:
--- a/packages/node/src/cassiahatch_node/mesh/stopping.py
+++ b/packages/node/src/cassiahatch_node/mesh/stopping.py
@@ -40,6 +40,11 @@
         Tells the peers whether the backend server accepts calls.
     answer_open : callable
         Answers the requests that are still open as ones that may have run.
+    end_connections : callable
+        Reads nothing more from clients and peers, and closes their connections once
+        they have got what was written.
+    count_links : callable
+        Returns the number of links that peers have not closed.
     """
 
     __slots__ = (
@@ -48,7 +53,9 @@
         "_backend",
         "_broadcast_load",
         "_clock",
+        "_count_links",
         "_count_open",
+        "_end_connections",
         "_front_end",
         "_journal",
         "_servers",
@@ -64,6 +71,8 @@
         count_open: Callable[[], int],
         broadcast_load: Callable[[], None],
         answer_open: Callable[[], None],
+        end_connections: Callable[[], None],
+        count_links: Callable[[], int],
         clock: Clock,
         journal: Journal,
     ) -> None:
@@ -74,6 +83,8 @@
         self._count_open = count_open
         self._broadcast_load = broadcast_load
         self._answer_open = answer_open
+        self._end_connections = end_connections
+        self._count_links = count_links
         self._clock = clock
         self._journal = journal
         self._started_at = clock.monotonic()
@@ -101,15 +112,26 @@
             await asyncio.sleep(POLL_S)
 
     async def _drain(self) -> None:
-        """Take no more requests, wait for the open ones, and close the listeners."""
+        """Take no more requests, and end when the open ones have been answered.
+
+        The connections end before the process does: a request that is read after the
+        last look at what is open would be lost.
+        """
         self._admission.is_closed = True
         self._backend.is_stopping = True
         self._broadcast_load()
         await asyncio.sleep(IDLE_S)
-        while self._count_open() and self._clock.monotonic() < self._admission.ends_at:
-            await asyncio.sleep(POLL_S)
+        await self._wait_while(self._count_open, self._admission.ends_at)
+        for server in self._servers:
+            server.close()
         if self._count_open():
             self._answer_open()
+        self._end_connections()
+        await self._wait_while(self._count_open, self._admission.exits_at)
+        closed_by = min(self._clock.monotonic() + IDLE_S, self._admission.exits_at)
+        await self._wait_while(self._count_links, closed_by)
+
+    async def _wait_while(self, count: Callable[[], int], ends_at: float) -> None:
+        """Wait until nothing is left, or a time in monotonic seconds."""
+        while count() and self._clock.monotonic() < ends_at:
             await asyncio.sleep(POLL_S)
-        for server in self._servers:
-            server.close()
--- a/packages/policies/src/cassiahatch_policies/stop_admission.py
+++ b/packages/policies/src/cassiahatch_policies/stop_admission.py
@@ -17,7 +17,10 @@
 MAX_NOTICE_SHARE = 0.5
 """Largest share of the grace period for that."""
 END_SHARE = 0.95
-"""Share of the grace period after which the process ends although requests are open."""
+"""Share of the grace period after which requests that are still open are answered."""
+EXIT_SHARE = 0.97
+"""Share of the grace period after which the process exits although answers are on their
+way."""
 ANSWER_S = 0.1
 """Time from a deadline until the answer that it has passed is sent."""
 
@@ -34,13 +37,21 @@
         Seconds from SIGTERM to SIGKILL.
     """
 
-    __slots__ = ("_last_deadline", "_notice_ends_at", "ends_at", "is_closed")
+    __slots__ = (
+        "_last_deadline",
+        "_notice_ends_at",
+        "ends_at",
+        "exits_at",
+        "is_closed",
+    )
 
     def __init__(self, started_at: float, grace_s: float) -> None:
         notice_s = min(NOTICE_S, MAX_NOTICE_SHARE * grace_s)
         self._notice_ends_at = started_at + notice_s
         self.ends_at = started_at + END_SHARE * grace_s
-        """Monotonic seconds at which the process ends."""
+        """Monotonic seconds at which the requests that are still open are answered."""
+        self.exits_at = started_at + EXIT_SHARE * grace_s
+        """Monotonic seconds at which the process exits at the latest."""
         self._last_deadline = self.ends_at - ANSWER_S
         self.is_closed = False
         """Whether no request is taken any more: the node is idle and exits."""
--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -36,6 +36,12 @@
     def write(self, data: bytes) -> None:
         self._loop.call_later(LINK_DELAY_S, self.other_end.deliver, data)
 
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return default
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def deliver(self, data: bytes) -> None:
         if not self._is_closed:
             self._protocol.data_received(data)
