Read the requests of a client's connection in a module of its own

Change: RequestReader parses and admits; ClientConnection serves, delivers and closes. No logic changes.

--- a/packages/node/src/cassiahatch_node/mesh/http_server.py
+++ b/packages/node/src/cassiahatch_node/mesh/http_server.py
@@ -12,6 +12,7 @@
 from cassiahatch_node.mesh.body_memory import BodyMemory
 from cassiahatch_node.mesh.client_connection import ClientConnection
 from cassiahatch_node.mesh.http_messages import RawRequest
+from cassiahatch_node.mesh.request_reader import RequestReader
 
 SWEEP_INTERVAL_S = 0.5
 """Interval at which connections are checked for timeouts."""
@@ -63,8 +64,8 @@
         self.reject = reject
         self.body_memory = body_memory
         body_memory.on_release = self._share_memory
-        self.waiting_for_memory: deque[ClientConnection] = deque()
-        """Connections with a body that waits for memory, in order of arrival."""
+        self.waiting_for_memory: deque[RequestReader] = deque()
+        """Readers of bodies that wait for memory, in order of arrival."""
         self.on_error = on_error
         self.on_undelivered = on_undelivered
         self.connections: set[ClientConnection] = set()
