Take no connection for idle while its client reads an answer

Callers saw, in calm: a client that read an answer more slowly than the idle timeout and then sent its next request got 64,510 of 120,000 bytes, and a reset (LOST: at any time; a request passed on, its connection closed without a whole answer). Change: a connection is idle only once its client has got the last answer; it is then closed as at a stop, after what it has read. A client that reads nothing for the idle timeout is closed as before.

--- a/packages/node/src/cassiahatch_node/mesh/client_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/client_connection.py
@@ -208,12 +208,19 @@
             return
         if reader.started_at is None:
             if now - self.last_data_at >= limits.idle_timeout_s:
-                self._transport.close()
+                self._check_idle(now, limits)
         elif now - reader.started_at >= limits.header_timeout_s:
             is_receiving_body = now - self.last_data_at < limits.header_timeout_s
             if not (reader.has_body_started and is_receiving_body):
                 reader.fail(Reason.SLOW_REQUEST)
 
+    def _check_idle(self, now: float, limits: Limits) -> None:
+        """End a connection without a request, unless its client still reads."""
+        if self._delivery.is_complete:
+            self.end()
+        else:
+            self._check_reader(now, limits)
+
     def _check_reader(self, now: float, limits: Limits) -> None:
         """Close a connection whose client has read nothing for the idle timeout.
 
--- a/tests/test_mesh_delivery.py
+++ b/tests/test_mesh_delivery.py
@@ -192,3 +192,34 @@
         writer.close()
 
     run_scenario(scenario, tmp_path)
+
+
+IDLE_TIMEOUT_S = 2
+IDLE_READ_BYTES = 120_000
+
+
+def test_a_connection_is_not_idle_while_its_client_reads(tmp_path: Path) -> None:
+    async def scenario(process: NodeProcess) -> None:
+        routes = {"read": {"prefix": "/read/", "service": "books"}}
+        process.site.configure(routes, idle_timeout_s=IDLE_TIMEOUT_S)
+        process.backend.make_body = lambda request_id: b"y" * IDLE_READ_BYTES
+        client = connect_slowly(process.fields["clients"])
+        loop, received = asyncio.get_running_loop(), b""
+        await loop.sock_sendall(client, render_read("r1"))
+        for _ in range(20):
+            await asyncio.sleep(IDLE_TIMEOUT_S / 10)
+            received += await loop.sock_recv(client, 3_000)
+        # A request that a closed connection gets resets it.
+        await loop.sock_sendall(client, render_read("r2"))
+        try:
+            while received.count(b"y") < 2 * IDLE_READ_BYTES:
+                data = await loop.sock_recv(client, 65_536)
+                if not data:
+                    break
+                received += data
+        except ConnectionError:
+            pass
+        assert received.count(b"y") == 2 * IDLE_READ_BYTES
+        client.close()
+
+    run_scenario(scenario, tmp_path)
