Catch signals from before a node listens until its process ends

Callers saw: a request that was read by a node which got SIGTERM within about 30 ms of opening its listeners ended without an answer (LOST: planned work, SIGTERM). A SIGHUP in that time was lost, and a SIGHUP or a second SIGTERM while a stopped process ended gave it the exit status 129 or 143. Cause: the handlers belonged to the event loop. They were installed after the listeners were open, and removed when the loop closed; before and after, the default action ended the process. Change: ProcessSignals installs the handlers in the first lines of the process, keeps what comes before something follows it, and ignores the signals once the loop is closed. A node that is told to stop before it listens ends without listening. Sidecars in the process of a test catch no signals, as before.

--- a/packages/node/src/cassiahatch_node/mesh/__main__.py
+++ b/packages/node/src/cassiahatch_node/mesh/__main__.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 from pathlib import Path
 
-# SIGHUP kills a process that has no handler for it, so it is ignored during startup.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+from cassiahatch_node.mesh.process_signals import ProcessSignals
+
+# A signal without a handler kills the process, also during the imports that follow.
+_signals = ProcessSignals() if __name__ == "__main__" else None
 
 import uvloop  # noqa: E402
 
@@ -21,20 +22,23 @@
 EXIT_BAD_SETTINGS = 2
 
 
-async def _serve(settings: MeshSettings, path: Path) -> None:
+async def _serve(settings: MeshSettings, path: Path, signals: ProcessSignals) -> None:
+    if signals.is_told_to_stop:
+        return
     async with Sidecar(settings) as sidecar:
-        await sidecar.run(path)
+        await sidecar.run(path, signals)
 
 
-def main(path: Path) -> None:
+def main(path: Path, signals: ProcessSignals) -> None:
     """Run a sidecar with the settings in the file at ``path``."""
     try:
         settings = load_mesh_settings(path)
     except SettingsError as error:
         print(f"error {error.code}: {error.detail}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    uvloop.run(_serve(settings, path))
+    uvloop.run(_serve(settings, path, signals))
+    signals.ignore()
 
 
 if __name__ == "__main__":
-    main(Path(sys.argv[1]))
+    main(Path(sys.argv[1]), _signals)
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/mesh/process_signals.py
@@ -0,0 +1,71 @@
+"""The signals of a node's process, caught from its first line to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Callable
+from types import FrameType
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class ProcessSignals:
+    """Handlers of SIGTERM, SIGINT and SIGHUP.
+
+    Handlers that belong to an event loop exist only while it does. These are there
+    before anything listens, and keep what they are told until something follows them.
+    """
+
+    __slots__ = ("_loop", "_on_reload", "_on_stop", "is_told_to_stop", "_reloads")
+
+    def __init__(self) -> None:
+        self.is_told_to_stop = False
+        """Whether SIGTERM or SIGINT has come."""
+        self._reloads = False
+        """Whether SIGHUP has come and nothing followed the signals then."""
+        self._loop: asyncio.AbstractEventLoop | None = None
+        for number in STOP_SIGNALS:
+            signal.signal(number, self._handle_stop)
+        signal.signal(signal.SIGHUP, self._handle_reload)
+
+    def follow(
+        self, on_stop: Callable[[], None], on_reload: Callable[[], None]
+    ) -> None:
+        """Pass each signal on in the running event loop, and those that have come.
+
+        Parameters
+        ----------
+        on_stop : callable
+            Called after each SIGTERM or SIGINT.
+        on_reload : callable
+            Called after each SIGHUP.
+        """
+        self._on_stop, self._on_reload = on_stop, on_reload
+        self._loop = asyncio.get_running_loop()
+        if self.is_told_to_stop:
+            on_stop()
+        if self._reloads:
+            on_reload()
+
+    def ignore(self) -> None:
+        """Ignore the signals from now on: the process ends.
+
+        The interpreter restores the default action of handlers before it ends, but not
+        of signals that are ignored.
+        """
+        for number in (*STOP_SIGNALS, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
+
+    def _handle_stop(self, number: int, frame: FrameType | None) -> None:
+        self.is_told_to_stop = True
+        if self._is_followed():
+            self._loop.call_soon_threadsafe(self._on_stop)
+
+    def _handle_reload(self, number: int, frame: FrameType | None) -> None:
+        self._reloads = True
+        if self._is_followed():
+            self._loop.call_soon_threadsafe(self._on_reload)
+
+    def _is_followed(self) -> bool:
+        return self._loop is not None and not self._loop.is_closed()
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -5,7 +5,6 @@
 import asyncio
 import gc
 import random
-import signal
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -33,6 +32,7 @@
 from cassiahatch_node.mesh.link_in import LinkService, PeerConnection
 from cassiahatch_node.mesh.link_out import LinkCallbacks, PeerLink
 from cassiahatch_node.mesh.own_backend import OwnBackend
+from cassiahatch_node.mesh.process_signals import ProcessSignals
 from cassiahatch_node.mesh.readers import ReaderElection
 from cassiahatch_node.mesh.registration import Registration
 from cassiahatch_node.mesh.response_limits import ResponseLimits
@@ -264,19 +264,18 @@
     async def __aexit__(self, *exception: object) -> None:
         await self._stack.aclose()
 
-    async def run(self, path: Path) -> None:
+    async def run(self, path: Path, signals: ProcessSignals) -> None:
         """Serve until SIGTERM, then stop gracefully.
 
         Parameters
         ----------
         path : Path
             The settings file, which is reloaded when it changes.
+        signals : ProcessSignals
+            The signals of the process.
         """
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stopping.set)
         watch = SettingsWatch(path, self._settings, self.reload, self.journal)
-        loop.add_signal_handler(signal.SIGHUP, watch.wake)
+        signals.follow(self._stopping.set, watch.wake)
         self._start_task(watch.run)
         await self._stopping.wait()
         await self.stop()
--- /dev/null
+++ b/tests/test_mesh_overlaps.py
@@ -0,0 +1,86 @@
+"""Signals, suspensions, configurations and faults of the store that overlap."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from mesh_site import Backend, MessageReader, Site, make_headers, render_request
+from test_mesh_process import NodeProcess, run_scenario
+
+
+@asynccontextmanager
+async def start_unannounced(folder: Path) -> AsyncIterator[NodeProcess]:
+    """Start a sidecar process, and kill it at the end if it still runs."""
+    log = (folder / "out.log").open("wb")
+    async with asyncio.timeout(20), Site(log.fileno()) as site:
+        process = NodeProcess(folder, site, Backend("books", "i-1"))
+        await process.start(log.fileno())
+        try:
+            yield process
+        finally:
+            if process.child.returncode is None:
+                process.child.kill()
+            await process.child.wait()
+            log.close()
+
+
+async def connect_when_listening(
+    process: NodeProcess,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, port = process.fields["clients"].split(":")
+    while True:
+        try:
+            return await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.001)
+
+
+@pytest.mark.parametrize("after_s", [0.0, 0.002, 0.01, 0.03, 0.1])
+def test_a_node_that_is_stopped_while_it_starts_answers_what_it_reads(
+    after_s: float, tmp_path: Path
+) -> None:
+    async def run() -> None:
+        async with start_unannounced(tmp_path) as process:
+            reader, writer = await connect_when_listening(process)
+            writer.write(render_request("GET", "/read/1", make_headers("r1")))
+            await asyncio.sleep(after_s)
+            process.child.send_signal(signal.SIGTERM)
+            answer = await MessageReader(reader, False).read()
+            assert answer is not None
+            assert answer.status == 503
+            writer.close()
+            assert await process.child.wait() == 0
+
+    uvloop.run(run())
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP], ids=str)
+def test_signals_while_a_node_ends_leave_its_exit_status(
+    number: signal.Signals, tmp_path: Path
+) -> None:
+    async def scenario(process: NodeProcess) -> None:
+        process.child.send_signal(signal.SIGTERM)
+        while process.child.returncode is None:
+            process.child.send_signal(number)
+            await asyncio.sleep(0.001)
+        assert process.child.returncode == 0
+
+    run_scenario(scenario, tmp_path)
+
+
+def test_a_reload_that_is_asked_for_while_a_node_starts_is_done(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with start_unannounced(tmp_path) as process:
+            _, writer = await connect_when_listening(process)
+            process.child.send_signal(signal.SIGHUP)
+            await process.wait_for_event("settings_reloaded")
+            writer.close()
+
+    uvloop.run(run())
--- a/tests/test_mesh_process.py
+++ b/tests/test_mesh_process.py
@@ -29,7 +29,7 @@
 
 SETTINGS = """
 [node]
-id = "p1"
+id = "{id}"
 zone = "z1"
 service = "books"
 clients = "{clients}"
@@ -62,6 +62,7 @@
             "store": site.store.address,
             "metrics": str(reserve_port()),
             "grace": "6",
+            "id": "p1",
         }
         self.site = site
         self.backend = backend
