Count the idle timeout from when the client has got its answer

Cause: the idle time began when the answer was written. Change: a connection with bytes on their way is idle only if the client has read nothing for the idle timeout. Evidence: both cases of test_an_answer_that_is_read_for_longer_than_the_idle_timeout_is_not_cut failed in 2 of 2 runs before, and passed in 3 of 3 runs after.

--- a/packages/node/src/cassiahatch_node/mesh/client_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/client_connection.py
@@ -261,7 +261,9 @@
         if self._is_busy or self._requests or self._failure is not None:
             return
         if self._request_started_at is None:
-            if now - self.last_data_at >= limits.idle_timeout_s:
+            self._check_reader(now, limits)
+            is_idle = now - self.last_data_at >= limits.idle_timeout_s
+            if is_idle and self._delivery.is_complete:
                 self._transport.close()
         elif now - self._request_started_at >= limits.header_timeout_s:
             is_receiving_body = now - self.last_data_at < limits.header_timeout_s
@@ -273,13 +275,12 @@
 
         What the kernel holds is still sent, but not what the process holds.
         """
-        if self._delivery.is_complete:
-            return
-        unread_bytes = self._delivery.count_pending_bytes()
+        delivery = self._delivery
+        unread_bytes = 0 if delivery.is_complete else delivery.count_pending_bytes()
         if unread_bytes != self._unread_bytes:
             self._unread_bytes = unread_bytes
             self.last_data_at = now
-        elif now - self.last_data_at >= limits.idle_timeout_s:
+        elif unread_bytes and now - self.last_data_at >= limits.idle_timeout_s:
             self.report_undelivered("not_read")
             if self._transport.get_write_buffer_size():
                 self._transport.abort()
