Send no body in responses of the node to HEAD requests

Callers saw: after a HEAD request that the node itself answered with 404, 502, 503 or 504, the answer to the next request on the connection began with the JSON of the error, and no parser reads that: a request that was passed on had no readable answer (LOST, at any time). Cause: failures were encoded with their body whatever the method. Change: the front end says whether a body may follow the head.

--- a/packages/node/src/cassiahatch_node/mesh/dialect.py
+++ b/packages/node/src/cassiahatch_node/mesh/dialect.py
@@ -41,6 +41,17 @@
         """Encode a backend server's reply for the client."""
 
     def encode_failure(
-        self, status: int, request_id: str, rejection: Rejection, closes: bool
+        self,
+        status: int,
+        request_id: str,
+        rejection: Rejection,
+        closes: bool,
+        has_body: bool = True,
     ) -> bytes:
-        """Encode an error response of the node; omit a ``Retry-After`` of 0."""
+        """Encode an error response of the node; omit a ``Retry-After`` of 0.
+
+        Parameters
+        ----------
+        has_body : bool, optional
+            Whether a body may follow the head: not in response to a HEAD request.
+        """
--- a/packages/node/src/cassiahatch_node/mesh/front_end.py
+++ b/packages/node/src/cassiahatch_node/mesh/front_end.py
@@ -190,8 +190,9 @@
             case Indeterminate():
                 response_rejection = Rejection(result.reason)
         status = find_status(result)
+        has_body = request.method != "HEAD"
         return self._dialect.encode_failure(
-            status, request.id, response_rejection, closes
+            status, request.id, response_rejection, closes, has_body
         )
 
     def _record_result(self, request: Request, result: Result) -> None:
--- a/tests/test_mesh_calm.py
+++ b/tests/test_mesh_calm.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from mesh_site import MessageReader
+from mesh_site import MessageReader, make_headers, render_request
 from test_mesh_delivery import open_slowly, render_read
 from test_mesh_process import NodeProcess, run_scenario
 
@@ -70,3 +70,33 @@
         writer.close()
 
     run_scenario(scenario, tmp_path)
+
+
+FAILURES = [
+    # action of the backend server, target, status
+    ("answer", "/read/1", 200),
+    ("fail", "/read/1", 500),
+    ("silent", "/read/1", 504),
+    ("garbage", "/buy/1", 502),
+    ("answer", "/unknown/1", 404),
+]
+
+
+@pytest.mark.parametrize(("action", "target", "status"), FAILURES)
+def test_the_answer_after_that_to_a_head_request_is_readable(
+    action: str, target: str, status: int, tmp_path: Path
+) -> None:
+    async def scenario(process: NodeProcess) -> None:
+        await configure(process)
+        process.backend.script = [action]
+        reader, writer = await open_slowly(process.fields["clients"])
+        writer.write(render_request("HEAD", target, make_headers("r1", 500)))
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 %d " % status)
+        writer.write(render_read("r2"))
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        assert b"Cassiahatch-Request-Id: r2\r\n" in head
+        writer.close()
+
+    run_scenario(scenario, tmp_path)
