--- a/packages/node/src/cassiahatch_node/mesh/client_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/client_connection.py
@@ -207,32 +207,30 @@
         if self._is_busy or reader.requests or reader.failure is not None:
             return
         if reader.started_at is None:
-            if now - self.last_data_at >= limits.idle_timeout_s:
-                self._check_idle(now, limits)
+            self._check_idle(now, limits)
         elif now - reader.started_at >= limits.header_timeout_s:
             is_receiving_body = now - self.last_data_at < limits.header_timeout_s
             if not (reader.has_body_started and is_receiving_body):
                 reader.fail(Reason.SLOW_REQUEST)
 
     def _check_idle(self, now: float, limits: Limits) -> None:
-        """End a connection without a request, unless its client still reads."""
-        if self._delivery.is_complete:
+        """End a connection whose client got its last answer an idle timeout ago."""
+        self._check_reader(now, limits)
+        is_idle = now - self.last_data_at >= limits.idle_timeout_s
+        if is_idle and self._delivery.is_complete:
             self.end()
-        else:
-            self._check_reader(now, limits)
 
     def _check_reader(self, now: float, limits: Limits) -> None:
         """Close a connection whose client has read nothing for the idle timeout.
 
         What the kernel holds is still sent, but not what the process holds.
         """
-        if self._delivery.is_complete:
-            return
-        unread_bytes = self._delivery.count_pending_bytes()
+        delivery = self._delivery
+        unread_bytes = 0 if delivery.is_complete else delivery.count_pending_bytes()
         if unread_bytes != self._unread_bytes:
             self._unread_bytes = unread_bytes
             self.last_data_at = now
-        elif now - self.last_data_at >= limits.idle_timeout_s:
+        elif unread_bytes and now - self.last_data_at >= limits.idle_timeout_s:
             self.report_undelivered("not_read")
             if self._transport.get_write_buffer_size():
                 self._transport.abort()
