Time a request whose first part came with the end of another

Callers saw: a part of a request that was sent at once with the end of the request before it counted as nothing: no 408 after the header timeout, the connection closed without an answer after the idle timeout, and a stopping node took the connection for idle. Cause: the start of a request was set when bytes came, and cleared by the end of the request before it among the same bytes. Change: it is set where a request begins. Evidence: test_a_part_of_a_request_behind_a_whole_one_is_answered failed before (no answer in 3 s, header timeout 1 s), and passes now.

--- a/packages/node/src/cassiahatch_node/mesh/client_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/client_connection.py
@@ -304,6 +304,8 @@
     def on_message_begin(self) -> None:
         """Reset the parser state for a new request."""
         self._message_began_at = self.last_data_at
+        if self._request_started_at is None:
+            self._request_started_at = self.last_data_at
         self._is_checked = False
         self._headers: RawHeaders = []
         self._body: list[bytes] = []
--- a/tests/test_mesh_calm.py
+++ b/tests/test_mesh_calm.py
@@ -100,3 +100,17 @@
         writer.close()
 
     run_scenario(scenario, tmp_path)
+
+
+def test_a_part_of_a_request_behind_a_whole_one_is_answered(tmp_path: Path) -> None:
+    async def scenario(process: NodeProcess) -> None:
+        await configure(process, header_timeout_s=1)
+        reader, writer = await open_slowly(process.fields["clients"])
+        writer.write(render_read("r1") + render_read("r2")[:-10])
+        messages = MessageReader(reader, False)
+        assert (await messages.read()).status == 200
+        async with asyncio.timeout(3):
+            assert (await messages.read()).status == 408
+        writer.close()
+
+    run_scenario(scenario, tmp_path)
