--- a/packages/node/src/cassiahatch_node/mesh/request_reader.py
+++ b/packages/node/src/cassiahatch_node/mesh/request_reader.py
@@ -124,6 +124,8 @@
     def on_message_begin(self) -> None:
         """Reset the parser state for a new request."""
         self._message_began_at = self._received_at
+        if self.started_at is None:
+            self.started_at = self._received_at
         self._is_checked = False
         self._headers = []
         self._body = []
