Let the soak find answers that clients have not received

Cause: the soak's clients read at once, one request at a time, and its only check of losses asked for requests that were passed on in runs with planned operations alone, so no run could show an answer cut in a node's buffers. Change: clients that read late over small windows, pipeline, send bodies in parts, close their sending half and reuse idle connections (client_kinds.py); planned operations in series, of all nodes of a service, of several nodes within a second and of one node; faults of the store in planned runs; SIGKILL after the grace period; 48 VMs in seeds that are multiples of 16; a check for each of the five sentences on lost requests (losses.py), each with rows that it detects and rows that it allows. The old check is the third one now: it gains the exceptions that the sentence names (deadline, broken off, work late in the grace period, client has left) and losses of requests that were read and not passed on. The faults that a seed draws have changed, those of seeds 1 and 4 too. Planned runs use no proxies.

--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -289,6 +289,8 @@
     message: Message
     at: float
     ran: bool = True
+    ended_at: float | None = None
+    """Time at which the work on it ended; None while it runs."""
     was_cancelled: bool = False
     """The connection was closed before the answer."""
     sent_bytes: int = 0
@@ -391,6 +393,7 @@
                 action = "fail"
         finally:
             self.running -= 1
+            arrival.ended_at = loop.time()
         if reader.at_eof() or writer.is_closing():
             arrival.was_cancelled = True
             return False
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -3,14 +3,31 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import re
 
 from mesh_site import Arrival, Backend, Message, send
 
+SERVICE_NAMES = ("shop", "books", "maps")
+"""``shop`` calls ``books``, which calls ``maps``."""
 DOWNSTREAM_PATHS = {"shop": "/books/", "books": "/maps/"}
 """Path that is called while a request runs, by service."""
-SLOTS = 4
+SLOTS = 8
 SERVICE_TIME_S = 0.01
 CALL_TIMEOUT_S = 1.5
+_ORDER_PATTERN = re.compile(r"-w(\d+)-b(\d+)$")
+
+
+def render_order(answer_bytes: int, work_s: float) -> str:
+    """Return the end of a request id that orders a size of the answer, and work."""
+    return f"-w{round(work_s * 1000)}-b{answer_bytes}"
+
+
+def make_answer_body(instance: str, request_id: str) -> bytes:
+    """Return the body of the answer to a request without a body."""
+    order = _ORDER_PATTERN.search(request_id)
+    size = int(order[2]) if order else 0
+    return f"{instance}:{request_id}".encode().ljust(size, b".")
 
 
 class CallingBackend(Backend):
@@ -24,22 +41,26 @@
 
     def __init__(self, service: str, instance: str, node_address: str) -> None:
         super().__init__(service, instance, SLOTS)
-        self.work_s = SERVICE_TIME_S
+        self.make_body = lambda request_id: make_answer_body(instance, request_id)
+        self.crashed_at = math.inf
         self._node_address = node_address
 
+    def crash(self) -> None:
+        """Stop listening and abort all connections."""
+        self.crashed_at = asyncio.get_running_loop().time()
+        super().crash()
+
     async def _handle_request(self, message: Message, writer, reader) -> bool:
-        path = DOWNSTREAM_PATHS.get(self.service)
-        request_id = message.headers.get("cassiahatch-request-id", "")
-        expected = message.headers.get("cassiahatch-expect-instance")
-        if path and request_id.count(".") < 2 and expected == self.instance:
-            if not await self._call(path, request_id):
-                arrival = Arrival(self.instance, message, self._read_clock())
-                self.arrivals.append(arrival)
-                writer.write(self._render(500, request_id, b"a call failed"))
-                return True
+        order = _ORDER_PATTERN.search(message.headers.get("cassiahatch-request-id", ""))
+        # Read before the first await of the base class.
+        self.work_s = int(order[1]) / 1000 if order else SERVICE_TIME_S
         return await super()._handle_request(message, writer, reader)
 
-    async def _call(self, path: str, request_id: str) -> bool:
+    async def _make_calls(self, arrival: Arrival, is_caused_by_retry: bool) -> bool:
+        path = DOWNSTREAM_PATHS.get(self.service)
+        request_id = arrival.message.headers.get("cassiahatch-request-id", "")
+        if not path or request_id.count(".") >= 2:
+            return True
         headers = {
             "Cassiahatch-Request-Id": f"{request_id}.c",
             "Cassiahatch-Deadline-Ms": str(int(CALL_TIMEOUT_S * 1000)),
@@ -50,6 +71,3 @@
         except (TimeoutError, OSError):
             return False
         return answer.status == 200
-
-    def _read_clock(self) -> float:
-        return asyncio.get_running_loop().time()
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import json
+import math
 import signal
 import sys
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
+from dataclasses import dataclass
 from pathlib import Path
 
 from mesh_site import HOST, Site, reserve_port, send
-from soak.backend import SLOTS, CallingBackend
+from soak.backend import SERVICE_NAMES, SLOTS, CallingBackend
+from soak.client_kinds import IDLE_TIMEOUT_S, VARIED_DEADLINE_S
 from soak.faults import (
     Configure,
     CrashBackend,
@@ -26,8 +29,6 @@
 )
 from soak.proxy import Proxy
 
-SERVICES = ("shop", "books", "maps", "shop", "books", "maps")
-"""Service of each VM; ``shop`` calls ``books``, which calls ``maps``."""
 ZONES = 2
 HEARTBEAT_S = 0.3
 DRAIN_S = 2.0
@@ -61,25 +62,51 @@
 """
 
 
+@dataclass(slots=True)
+class Injection:
+    """A fault that was injected."""
+
+    fault: Fault
+    began_at: float
+    ended_at: float = math.inf
+
+
 class Vm:
-    """A VM with a node process and a backend server, controlled by ``Cluster``."""
+    """A VM with a node process and a backend server, controlled by ``Cluster``.
 
-    def __init__(self, number: int, site: Site, folder: Path) -> None:
+    Parameters
+    ----------
+    has_proxies : bool
+        Whether its connections go through proxies, which network faults need.
+    """
+
+    def __init__(
+        self, number: int, site: Site, folder: Path, has_proxies: bool
+    ) -> None:
         self.number = number
-        self.service = SERVICES[number]
+        self.service = SERVICE_NAMES[number % len(SERVICE_NAMES)]
         self.client_address = f"{HOST}:{reserve_port()}"
         self.peer_address = f"{HOST}:{reserve_port()}"
         self.control_address = f"{HOST}:{reserve_port()}"
         self.backend_address = f"{HOST}:{reserve_port()}"
+        self.addresses = {
+            "store": site.store.address,
+            "backend": self.backend_address,
+            "peers": self.peer_address,
+        }
         self.proxies = {
-            "store": Proxy(site.store.address),
-            "backend": Proxy(self.backend_address),
-            "peers": Proxy(self.peer_address),
+            end: Proxy(address)
+            for end, address in self.addresses.items()
+            if has_proxies
         }
+        for end, proxy in self.proxies.items():
+            self.addresses[end] = proxy.address
         self.settings_path = folder / f"n{number}.toml"
         self.log_path = folder / f"n{number}.log"
         self.process: asyncio.subprocess.Process | None = None
         self.starts = 0
+        self.stopped_at: dict[int, float] = {}
+        """Time of the first SIGTERM to a node process, by the value of ``starts``."""
         self.should_run = True
         """Whether the node is restarted; false while ``KillNode`` keeps it down."""
         self.backends: list[CallingBackend] = []
@@ -97,10 +124,10 @@
                 service=self.service,
                 clients=self.client_address,
                 peers=self.peer_address,
-                advertised=self.proxies["peers"].address,
+                advertised=self.addresses["peers"],
                 control=self.control_address,
-                backend=self.proxies["backend"].address,
-                store=self.proxies["store"].address,
+                backend=self.addresses["backend"],
+                store=self.addresses["store"],
                 drain_s=DRAIN_S,
                 grace_s=GRACE_S,
                 is_first_start="false" if self.starts else "true",
@@ -124,6 +151,19 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signal_number)
 
+    async def stop_node(self) -> None:
+        """Send SIGTERM to the node, and SIGKILL if it still runs ``GRACE_S`` later."""
+        process = self.process
+        now = asyncio.get_running_loop().time()
+        self.stopped_at.setdefault(self.starts, now)
+        self.signal_node(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await process.wait()
+        except TimeoutError:
+            with suppress(ProcessLookupError):
+                process.kill()
+
     async def start_backend(self, stack: AsyncExitStack) -> None:
         """Start a new instance of the backend server."""
         instance = f"{self.service}-{self.number}-{len(self.backends)}"
@@ -182,9 +222,10 @@
 class Cluster:
     """All VMs and the platform's store; a context manager that ends their processes."""
 
-    def __init__(self, site: Site, folder: Path) -> None:
+    def __init__(self, site: Site, folder: Path, vms: int, has_proxies: bool) -> None:
         self.site = site
-        self.vms = [Vm(number, site, folder) for number in range(len(SERVICES))]
+        self.vms = [Vm(number, site, folder, has_proxies) for number in range(vms)]
+        self.injections: list[Injection] = []
         self.stored_at: dict[int, float] = {}
         """Time at which each version of the configuration was stored."""
         self._stack = AsyncExitStack()
@@ -231,18 +272,30 @@
                 "max_attempts": MAX_ATTEMPTS,
                 "timeout_s": 2,
             }
-            for name in dict.fromkeys(SERVICES)
+            for name in SERVICE_NAMES
         }
         routes["order"] = routes["shop"] | {"prefix": "/order/", "kind": "unsafe"}
+        varied = {"timeout_s": VARIED_DEADLINE_S}
+        routes["read"] = routes["maps"] | varied | {"prefix": "/read/"}
+        routes["write"] = (
+            routes["books"] | varied | {"prefix": "/write/", "kind": "unsafe"}
+        )
         routes |= {
             f"v{version}": {"prefix": f"/v{version}/", "service": "maps"}
             for version in versions
         }
-        self.site.configure(routes)
+        self.site.configure(routes, idle_timeout_s=IDLE_TIMEOUT_S)
         self.stored_at[self.site.config_version] = asyncio.get_running_loop().time()
 
     async def inject(self, fault: Fault) -> None:
-        """Inject a fault, and end it after its duration."""
+        """Inject a fault, end it after its duration, and record both times."""
+        loop = asyncio.get_running_loop()
+        injection = Injection(fault, loop.time())
+        self.injections.append(injection)
+        await self._apply(fault)
+        injection.ended_at = loop.time()
+
+    async def _apply(self, fault: Fault) -> None:
         match fault:
             case KillNode(vms=vms, for_s=for_s):
                 for number in vms:
@@ -252,7 +305,7 @@
                 for number in vms:
                     self.vms[number].should_run = True
             case StopNode(vm=number):
-                self.vms[number].signal_node(signal.SIGTERM)
+                await self.vms[number].stop_node()
             case PauseNode(vm=number, for_s=for_s):
                 self.vms[number].signal_node(signal.SIGSTOP)
                 await asyncio.sleep(for_s)
@@ -264,7 +317,10 @@
             case DrainBackend(vm=number):
                 await self._drain_backend(self.vms[number])
             case SpoilBackend(vm=number, action=action, count=count):
-                self.vms[number].backends[-1].script += [action] * count
+                backend = self.vms[number].backends[-1]
+                backend.script += [action] * count
+                while backend.script:
+                    await asyncio.sleep(0.05)
             case HarmPath(vm=number, end=end, mode=mode, for_s=for_s):
                 await self._impair_path(self.vms[number].proxies[end], mode, for_s)
             case HarmStore(how=how, for_s=for_s):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from soak.backend import SERVICE_NAMES
+
 
 @dataclass(slots=True, frozen=True)
 class KillNode:
@@ -109,6 +111,8 @@
 
 PLANNED_OPERATIONS = (StopNode, ReloadNode, DrainBackend, Configure)
 """Routine operations, during which no request may be lost."""
+SERIES_SHARE = 0.3
+"""Share of the draws that give a series of planned operations."""
 BACKEND_ACTIONS = (
     "reset",
     "cut",
@@ -138,7 +142,7 @@
     """Return the faults of a run; the same arguments always give the same faults.
 
     Faults come in bursts and overlap: on average, half of them are injected within
-    0.2 s of the previous one.
+    0.2 s of the previous one, and planned operations also come in series.
 
     Parameters
     ----------
@@ -151,11 +155,37 @@
     steps: list[Step] = []
     at = random_source.uniform(0.3, 1.0)
     while at < length_s:
-        steps.append(Step(at, _draw_fault(random_source, vms)))
+        if random_source.random() < SERIES_SHARE:
+            series = _draw_series(random_source, vms)
+            steps += [Step(at + after_s, fault) for after_s, fault in series]
+        else:
+            steps.append(Step(at, _draw_fault(random_source, vms)))
         at += random_source.choice(
             (random_source.uniform(0.0, 0.2), random_source.uniform(0.3, 1.5))
         )
-    return steps
+    return sorted(
+        (step for step in steps if step.at < length_s), key=lambda step: step.at
+    )
+
+
+def _draw_series(random_source: random.Random, vms: int) -> list[tuple[float, Fault]]:
+    """Return planned operations, each with the seconds after which it begins."""
+    match random_source.choice(("service", "group", "node")):
+        case "service":
+            first, gap_s = (
+                random_source.randrange(len(SERVICE_NAMES)),
+                random_source.uniform(0.0, 2.5),
+            )
+            stopped = range(first, vms, len(SERVICE_NAMES))
+            return [(gap_s * place, StopNode(vm)) for place, vm in enumerate(stopped)]
+        case "group":
+            stopped = random_source.sample(range(vms), random_source.randint(2, vms))
+            return [(random_source.uniform(0.0, 1.0), StopNode(vm)) for vm in stopped]
+        case _:
+            vm = random_source.randrange(vms)
+            operations = (ReloadNode(vm), ReloadNode(vm), Configure(1), StopNode(vm))
+            drawn = random_source.choices(operations, k=random_source.randint(3, 6))
+            return [(random_source.uniform(0.0, 2.0), fault) for fault in drawn]
 
 
 def _draw_fault(random_source: random.Random, vms: int) -> Fault:
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -4,7 +4,8 @@
 runs at most once), ``refused`` (a rejected request did not run), ``body`` (a request
 arrives with its own body), ``mixed`` (a client gets only the answer to its request),
 ``config`` (a node process never returns to an older configuration), ``budget``
-(attempts and retries are bounded), ``lost`` (planned operations lose no request) or
+(attempts and retries are bounded), ``lost`` (no request is lost during planned
+operations, and hardly any at other times, see ``soak.losses``) or
 ``drain`` (a backend server runs no request later than ``DRAIN_S`` after the node has
 acknowledged that it drains).
 """
@@ -16,6 +17,7 @@
 from dataclasses import dataclass
 
 from mesh_site import Arrival
+from soak.backend import make_answer_body
 from soak.clients import RequestRecord
 from soak.cluster import (
     DRAIN_S,
@@ -24,6 +26,7 @@
     RETRY_SLACK,
     Cluster,
 )
+from soak.losses import check_losses
 
 REJECTION_STATUSES = (408, 429, 503)
 """Statuses with which a node states that the request did not run."""
@@ -43,12 +46,10 @@
     arrivals: dict[str, list[Arrival]]
     """Arrivals at backend servers, by request id."""
     cluster: Cluster
-    is_planned: bool
-    """Whether only planned operations were injected, so that no request may be lost."""
 
 
 def collect_observations(
-    cluster: Cluster, records: list[RequestRecord], is_planned: bool
+    cluster: Cluster, records: list[RequestRecord]
 ) -> Observations:
     """Return the observations of a run, with all arrivals at its backend servers."""
     arrivals: dict[str, list[Arrival]] = defaultdict(list)
@@ -57,7 +58,7 @@
             for arrival in backend.arrivals:
                 request_id = arrival.message.headers.get("cassiahatch-request-id", "")
                 arrivals[request_id].append(arrival)
-    return Observations(records, arrivals, cluster, is_planned)
+    return Observations(records, arrivals, cluster)
 
 
 def check_safety(observations: Observations) -> list[str]:
@@ -67,7 +68,9 @@
         *_check_answers(observations),
         *_check_versions(observations),
         *_check_retries(observations),
-        *_check_losses(observations),
+        *check_losses(
+            observations.records, observations.arrivals, observations.cluster
+        ),
     ]
 
 
@@ -124,9 +127,9 @@
             yield f"mixed: {record.id} got the answer to another request"
         if answer.status != 200:
             continue
-        body = record.id if record.method == "POST" else ""
+        body = record.id.encode() if record.method == "POST" else b""
         expected_bodies = {
-            f"{arrival.instance}:{record.id}{body}".encode()
+            make_answer_body(arrival.instance, record.id) + body
             for arrival in observations.arrivals.get(record.id, [])
         }
         if (
@@ -179,11 +182,3 @@
                     f"at {service}"
                 )
                 break
-
-
-def _check_losses(observations: Observations) -> Iterator[str]:
-    if not observations.is_planned:
-        return
-    for record in observations.records:
-        if record.was_closed and observations.arrivals.get(record.id):
-            yield f"lost: {record.id} was forwarded, but got no answer"
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,20 +11,41 @@
 import uvloop
 
 from mesh_site import Site
+from soak.client_kinds import ANSWER_SIZES
 from soak.clients import Client, RequestRecord
-from soak.cluster import SERVICES, Cluster
-from soak.faults import PLANNED_OPERATIONS, Step, draw_schedule
+from soak.cluster import Cluster, Vm
+from soak.faults import PLANNED_OPERATIONS, HarmStore, Step, draw_schedule
 from soak.oracle import check_safety, check_time_bounds, collect_observations
 
-CLIENTS_PER_VM = 2
 START_TIMEOUT_S = 30.0
 RECOVERY_TIMEOUT_S = 15.0
 """Time after the last fault within which all routes must be served again."""
 LAST_FAULT_S = 3.0
 """Time allowed for the last fault to end."""
 PLANNED_SEED_INTERVAL = 4
-"""Seeds that are multiples of this run only planned operations, during which no
-request may be lost."""
+"""Seeds that are multiples of this run only planned operations and faults of the store,
+during which no request may be lost."""
+LEAVING_SHARE = 0.5
+"""Share of the VMs whose clients leave a node that stops."""
+LARGE_SEED_INTERVAL = 16
+"""Seeds that are multiples of this run on ``LARGE``."""
+
+
+@dataclass(slots=True, frozen=True)
+class Scale:
+    """Size of a run."""
+
+    vms: int
+    steady_clients: int
+    """Clients of each VM that send short requests, one after the other."""
+    varied_clients: int
+    """Clients of each VM whose exchanges are of any kind."""
+    pause_s: float
+    """Mean time between an answer and the next request of a client."""
+
+
+USUAL = Scale(6, 2, 16, 0.02)
+LARGE = Scale(48, 1, 2, 0.3)
 
 
 @dataclass(slots=True)
@@ -50,27 +71,28 @@
     folder.mkdir(parents=True, exist_ok=True)
     asyncio.get_running_loop().set_exception_handler(_report_error)
     is_planned = seed % PLANNED_SEED_INTERVAL == 0
-    schedule = draw_schedule(seed, len(SERVICES), length_s)
+    scale = USUAL if seed % LARGE_SEED_INTERVAL else LARGE
+    schedule = draw_schedule(seed, scale.vms, length_s)
     if is_planned:
-        schedule = [
-            step for step in schedule if isinstance(step.fault, PLANNED_OPERATIONS)
-        ]
+        kept = (*PLANNED_OPERATIONS, HarmStore)
+        schedule = [step for step in schedule if isinstance(step.fault, kept)]
     (folder / "schedule.txt").write_text("\n".join(map(str, schedule)))
     null = os.open(os.devnull, os.O_WRONLY)
     try:
-        async with Site(null) as site, Cluster(site, folder) as cluster:
-            return await _run_schedule(cluster, seed, schedule, is_planned)
+        async with (
+            Site(null) as site,
+            Cluster(site, folder, scale.vms, has_proxies=not is_planned) as cluster,
+        ):
+            return await _run_schedule(cluster, folder, seed, schedule, scale)
     finally:
         os.close(null)
 
 
 async def _run_schedule(
-    cluster: Cluster, seed: int, schedule: list[Step], is_planned: bool
+    cluster: Cluster, folder: Path, seed: int, schedule: list[Step], scale: Scale
 ) -> RunResult:
     clients = [
-        Client(f"c{vm.number}{number}", vm, random.Random(f"{seed}/{vm.number}"))
-        for vm in cluster.vms
-        for number in range(CLIENTS_PER_VM)
+        client for vm in cluster.vms for client in _make_clients(vm, seed, scale)
     ]
     await _wait_until_served(cluster, "start", START_TIMEOUT_S)
     for client in clients:
@@ -89,7 +111,8 @@
             f"recover: some routes not served {RECOVERY_TIMEOUT_S} s after the faults"
         )
     records = [record for client in clients for record in client.records]
-    observations = collect_observations(cluster, records, is_planned)
+    (folder / "requests.txt").write_text("".join(map(str, records)))
+    observations = collect_observations(cluster, records)
     return RunResult(
         seed,
         len(records),
@@ -100,6 +123,23 @@
     )
 
 
+def _make_clients(vm: Vm, seed: int, scale: Scale) -> list[Client]:
+    random_source = random.Random(f"{seed}/{vm.number}")
+    answer_sizes = random_source.choice(ANSWER_SIZES)
+    leaves = random_source.random() < LEAVING_SHARE
+    return [
+        Client(
+            f"c{vm.number}_{number}",
+            vm,
+            random.Random(f"{seed}/{vm.number}/{number}"),
+            scale.pause_s,
+            answer_sizes if number >= scale.steady_clients else None,
+            leaves,
+        )
+        for number in range(scale.steady_clients + scale.varied_clients)
+    ]
+
+
 async def _wait_until_served(
     cluster: Cluster, id_prefix: str, timeout_s: float
 ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,16 +2,37 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import pytest
 
-from mesh_site import Arrival, Message
-from soak.clients import RequestRecord
-from soak.cluster import DRAIN_S, MAX_ATTEMPTS, RETRY_SLACK
-from soak.faults import draw_schedule
+from mesh_site import HOST, Arrival, Message
+from soak.client_kinds import (
+    ClientKind,
+    HalfClose,
+    Pipeline,
+    ReadLate,
+    ReuseIdle,
+    SplitBody,
+    Steady,
+)
+from soak.clients import Client, RequestRecord
+from soak.cluster import DRAIN_S, MAX_ATTEMPTS, RETRY_SLACK, Injection
+from soak.faults import (
+    Configure,
+    Fault,
+    HarmPath,
+    HarmStore,
+    PauseNode,
+    StopNode,
+    draw_schedule,
+)
+from soak.losses import LATE_GRACE_S, LOSS_SLACK_S, MAX_UNPLANNED_LOSSES
 from soak.oracle import Observations, check_safety, check_time_bounds
 from soak.run import run_seed
 
@@ -20,6 +41,8 @@
     1,
     # A stopping node dropped a request that it had accepted shortly before it ended.
     4,
+    # Answers that clients read late were cut by a stop, in the node's own buffers.
+    8,
 ]
 
 
@@ -30,6 +53,42 @@
     assert result.answered_count > 0
 
 
+KINDS = [
+    Steady(),
+    ReadLate(0, 0.2),
+    Pipeline(3),
+    SplitBody(0.1),
+    HalfClose(),
+    ReuseIdle(0.0),
+]
+HEAD = b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n"
+
+
+@pytest.mark.parametrize("kind", KINDS, ids=str)
+@pytest.mark.parametrize("answer", [b"", HEAD, HEAD + b"y" * 8, HEAD + b"y" * 9])
+def test_an_answer_with_fewer_bytes_than_announced_is_none(
+    kind: ClientKind, answer: bytes
+) -> None:
+    async def serve(reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        writer.close()
+
+    async def scenario() -> list[RequestRecord]:
+        server = await asyncio.start_server(serve, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        vm = FakeVm(client_address=f"{HOST}:{port}")
+        client = Client("c", vm, random.Random(0))
+        await client.send("POST", "/write/", kind)
+        server.close()
+        return client.records
+
+    first, *others = asyncio.run(scenario())
+    assert (first.answer is not None) is (answer == HEAD + b"y" * 9)
+    assert first.was_closed is (first.answer is None)
+    assert all(record.was_closed for record in others)
+
+
 def test_same_seed_draws_the_same_faults() -> None:
     assert draw_schedule(7, 6, 20.0) == draw_schedule(7, 6, 20.0)
     assert draw_schedule(7, 6, 20.0) != draw_schedule(8, 6, 20.0)
@@ -39,6 +98,10 @@
 class FakeVm:
     """Attributes of a VM that the oracle reads."""
 
+    number: int = 0
+    client_address: str = ""
+    starts: int = 1
+    stopped_at: dict[int, float] = field(default_factory=dict)
     backends: list = field(default_factory=list)
     drain_acknowledged_at: dict[str, float] = field(default_factory=dict)
 
@@ -48,6 +111,7 @@
     """Attributes of a backend server that the oracle reads."""
 
     instance: str
+    crashed_at: float = math.inf
 
 
 @dataclass(slots=True)
@@ -55,11 +119,12 @@
     """Attributes of a cluster that the oracle reads."""
 
     vms: list[FakeVm]
+    injections: list[Injection] = field(default_factory=list)
 
 
-def build_observations(is_planned: bool = False) -> Observations:
-    vms = [FakeVm([FakeBackend(f"shop-{n}-0")]) for n in range(4)]
-    return Observations([], {}, FakeCluster(vms), is_planned)
+def build_observations() -> Observations:
+    vms = [FakeVm(n, backends=[FakeBackend(f"shop-{n}-0")]) for n in range(4)]
+    return Observations([], {}, FakeCluster(vms))
 
 
 def record_request(
@@ -149,10 +214,41 @@
         record_arrival(observations, "a", f"shop-{number}-0")
 
 
-def add_lost_request(observations: Observations) -> None:
-    observations.is_planned = True
-    record_arrival(observations, "a", "shop-0-0")
-    record_request(observations, "a", was_closed=True)
+def make_loss(
+    fault: Fault | None = None,
+    count: int = 1,
+    run_s: float | None = 0.1,
+    stopped_at: float = math.inf,
+    crashed_at: float = math.inf,
+    **fields: object,
+) -> Callable[[Observations], None]:
+    """Return a function that adds requests whose connection was closed.
+
+    Parameters
+    ----------
+    run_s : float or None
+        Length of the backend server's work; None for requests that it did not get.
+    """
+    closed = {"was_closed": True, "last_sent_at": 1.0, "ended_at": 1.5}
+
+    def add(observations: Observations) -> None:
+        vm = observations.cluster.vms[0]
+        vm.stopped_at[1] = stopped_at
+        vm.backends[0].crashed_at = crashed_at
+        if fault is not None:
+            observations.cluster.injections.append(Injection(fault, 0.5, 1.2))
+        for number in range(count):
+            record_request(observations, f"a{number}", **(closed | fields))
+            if run_s is not None:
+                record_arrival(observations, f"a{number}", "shop-0-0")
+                observations.arrivals[f"a{number}"][-1].ended_at = 1.0 + run_s
+
+    return add
+
+
+def make_own_answer(status: int = 504, **fields) -> Callable[[Observations], None]:
+    """Return a function that adds a request that its node answered by itself."""
+    return make_loss(was_closed=False, answer=make_answer(status), **fields)
 
 
 def add_run_after_drain(observations: Observations) -> None:
@@ -172,12 +268,48 @@
     (add_older_configuration, "config"),
     (add_retries_beyond_budget, "budget"),
     (add_attempts_beyond_limit, "budget"),
-    (add_lost_request, "lost"),
     (add_run_after_drain, "drain"),
 ]
 
 
-@pytest.mark.parametrize(("add", "expected"), CASES)
+MANY = MAX_UNPLANNED_LOSSES + 1
+KEPT = {"is_on_kept_connection": True}
+LATE = {"stopped_at": 0.5, "run_s": LATE_GRACE_S, "deadline_s": 9.0, "ended_at": 6.4}
+PAUSE_ELSEWHERE = PauseNode(3, 0.7)
+"""A fault that excuses single losses, and does not touch the VM of the requests."""
+LOSSES = [
+    # At any time, few kept connections are closed on which a request was passed on.
+    (make_loss(PAUSE_ELSEWHERE, MANY, **KEPT), "lost"),
+    (make_loss(PAUSE_ELSEWHERE, MANY - 1, **KEPT), ""),
+    (make_loss(PAUSE_ELSEWHERE, MANY), ""),
+    (make_loss(PauseNode(0, 0.7), MANY, **KEPT), ""),
+    # A fault of the store alone excuses nothing.
+    (make_loss(HarmStore("down", 0.7)), "lost"),
+    (make_loss(HarmPath(0, "store", "reset", 0.7)), ""),
+    # Planned operations lose no request that was passed on or read.
+    (make_loss(StopNode(0), stopped_at=0.5), "lost"),
+    (make_loss(Configure(1)), "lost"),
+    (make_loss(run_s=None), "lost"),
+    (make_loss(ended_at=1.0 + 2.0), ""),
+    (make_loss(run_s=0.3, crashed_at=1.2), ""),
+    (make_loss(run_s=0.1, crashed_at=1.2), "lost"),
+    (make_loss(**LATE), ""),
+    (make_loss(**LATE | {"run_s": LATE_GRACE_S - 1.0}), "lost"),
+    (make_loss(**LATE | {"sent_at": 4.0}), "lost"),
+    (make_loss(has_left=True), ""),
+    # A close that a request crosses loses nothing if the request was not passed on.
+    (make_loss(run_s=None, ended_at=1.0 + LOSS_SLACK_S), ""),
+    (make_loss(ended_at=1.0 + LOSS_SLACK_S), "lost"),
+    # A stopping node gives no answer in place of one that is still worked on.
+    (make_own_answer(stopped_at=0.5, run_s=1.0), "lost"),
+    (make_own_answer(502, stopped_at=0.5, run_s=1.0), "lost"),
+    (make_own_answer(stopped_at=0.5, run_s=0.3), ""),
+    (make_own_answer(run_s=1.0), ""),
+    (make_own_answer(stopped_at=0.5, run_s=3.0, ended_at=1.0 + 2.0), ""),
+]
+
+
+@pytest.mark.parametrize(("add", "expected"), CASES + LOSSES)
 def test_oracle_detects_each_violation(
     add: Callable[[Observations], None], expected: str
 ) -> None:
