Ignore the offer of an upgrade, and read the request to its end

Cause: the parser ends such a message at its head, since the protocol may change there, and the node took it for complete. Change: a parser that has not seen the offer reads the message on, with the same limits and admission; CONNECT remains a 400.

--- a/packages/node/src/cassiahatch_node/mesh/request_reader.py
+++ b/packages/node/src/cassiahatch_node/mesh/request_reader.py
@@ -11,6 +11,7 @@
 
 from cassiahatch_kernel.exchanges import Reason, Rejection
 from cassiahatch_node.mesh.body_memory import LARGE_BODY_BYTES, BodySpace
+from cassiahatch_node.mesh.dialect import BadRequestError
 from cassiahatch_node.mesh.http_messages import RawHeaders, RawRequest
 
 if TYPE_CHECKING:
@@ -109,12 +110,47 @@
         if self._is_in_header:
             self._unfinished_size += len(data)
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._parse(data)
+        except (httptools.HttpParserError, BadRequestError):
             self.fail(Reason.BAD_REQUEST)
         if self._is_in_header:
             self._check_header_size(max(self._header_size, self._unfinished_size))
 
+    def _parse(self, data: bytes) -> None:
+        rest = memoryview(data)
+        while True:
+            try:
+                self._parser.feed_data(rest)
+                return
+            except httptools.HttpParserUpgrade as error:
+                rest = rest[error.args[0] :]
+            self._ignore_upgrade()
+
+    def _ignore_upgrade(self) -> None:
+        """Read on after a head that offers to change the protocol.
+
+        The parser takes what follows such a head for the other protocol. A parser that
+        has not seen the offer reads it as the body.
+
+        Raises
+        ------
+        BadRequestError
+            If the request is for a tunnel (``CONNECT``), which needs the offer.
+        """
+        method = self._parser.get_method()
+        if method == b"CONNECT":
+            raise BadRequestError("CONNECT is not supported")
+        began_at, version = self._message_began_at, self._parser.get_http_version()
+        fields = [
+            name + b": " + value + b"\r\n"
+            for name, value in self._headers
+            if name.lower() != b"upgrade"
+        ]
+        start = b"%s %s HTTP/%s\r\n" % (method, self._target, version.encode())
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(b"".join((start, *fields, b"\r\n")))
+        self._message_began_at = began_at
+
     def pop(self) -> tuple[RawRequest, BodySpace | None]:
         """Remove and return the first request, with the memory of its body."""
         request = self.requests.popleft()
@@ -146,6 +182,8 @@
     def on_headers_complete(self) -> None:
         """Check the size of the head, and admit the body if there is one."""
         self._is_in_header = False
+        if self._parser.should_upgrade():
+            return
         self.is_in_body = True
         self._check_header_size(self._header_size)
         if self.failure is None and self._parser.get_method() not in BODILESS_METHODS:
@@ -194,7 +232,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the request for the task, unless a limit was exceeded."""
-        if self.failure is not None:
+        if self.failure is not None or self._parser.should_upgrade():
             return
         self.stop_waiting_for_memory()
         self.is_in_body = False
