End the calls on a link that is closed since its member left

Cause: the link's task is cancelled, and ended its calls only when a connection was lost by itself. Change: it ends them however it ends.

--- a/packages/node/src/cassiahatch_node/mesh/link_out.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_out.py
@@ -161,8 +161,10 @@
         backoff_s = FIRST_BACKOFF_S
         while True:
             self._was_ready = False
-            await self._connect_and_wait()
-            self.end_calls()
+            try:
+                await self._connect_and_wait()
+            finally:
+                self.end_calls()
             if self._was_ready:
                 self._journal.note("link_lost", peer=self.node_id)
                 backoff_s = FIRST_BACKOFF_S
