Let the process end before the grace period does

Cause: the pause before the end was added to the time at which open requests are answered, whatever was left. Change: the pause ends by then, and a process leaves itself 0.2 s to exit.

--- a/packages/node/src/cassiahatch_node/mesh/stopping.py
+++ b/packages/node/src/cassiahatch_node/mesh/stopping.py
@@ -20,6 +20,8 @@
 """Time after SIGTERM in which peers may still send calls to the backend server. Calls
 received by then are mostly answered when the clients have moved elsewhere."""
 POLL_S = 0.05
+ANSWER_S = 0.02
+"""Time in which the requests that are open at the end write their answers."""
 
 
 class GracefulStop:
@@ -120,12 +122,14 @@
         self._admission.is_closed = True
         self._backend.is_stopping = True
         self._broadcast_load()
-        await asyncio.sleep(IDLE_S)
-        await self._wait_while(self._count_open, self._admission.ends_at)
+        ends_at = self._admission.ends_at
+        await asyncio.sleep(max(0.0, min(IDLE_S, ends_at - self._clock.monotonic())))
+        await self._wait_while(self._count_open, ends_at)
         for server in self._servers:
             server.close()
         if self._count_open():
             self._answer_open()
+            await asyncio.sleep(ANSWER_S)
         self._end_connections()
         await self._wait_while(self._count_open, self._admission.exits_at)
         closed_by = min(self._clock.monotonic() + IDLE_S, self._admission.exits_at)
@@ -133,5 +137,5 @@
 
     async def _wait_while(self, count: Callable[[], int], ends_at: float) -> None:
         """Wait until nothing is left, or a time in monotonic seconds."""
-        while count() and self._clock.monotonic() < ends_at:
-            await asyncio.sleep(POLL_S)
+        while count() and (rest_s := ends_at - self._clock.monotonic()) > 0.0:
+            await asyncio.sleep(min(POLL_S, rest_s))
--- a/packages/policies/src/cassiahatch_policies/stop_admission.py
+++ b/packages/policies/src/cassiahatch_policies/stop_admission.py
@@ -21,6 +21,8 @@
 EXIT_SHARE = 0.97
 """Share of the grace period after which the process exits although answers are on their
 way."""
+EXIT_S = 0.2
+"""Time that a process needs to exit."""
 ANSWER_S = 0.1
 """Time from a deadline until the answer that it has passed is sent."""
 
@@ -48,9 +50,9 @@
     def __init__(self, started_at: float, grace_s: float) -> None:
         notice_s = min(NOTICE_S, MAX_NOTICE_SHARE * grace_s)
         self._notice_ends_at = started_at + notice_s
-        self.ends_at = started_at + END_SHARE * grace_s
+        self.ends_at = started_at + min(END_SHARE * grace_s, grace_s - EXIT_S)
         """Monotonic seconds at which the requests that are still open are answered."""
-        self.exits_at = started_at + EXIT_SHARE * grace_s
+        self.exits_at = started_at + min(EXIT_SHARE * grace_s, grace_s - EXIT_S)
         """Monotonic seconds at which the process exits at the latest."""
         self._last_deadline = self.ends_at - ANSWER_S
         self.is_closed = False
