Let the kernel take the answers that are left when the process ends

Cause: such clients can't know of the stop, and to reject all whose deadline lies beyond the end would refuse far more requests than it saves; what the transport holds at the end of the grace period was dropped. Change: the kernel is asked for room for all of it (SO_SNDBUF), and sends on after the exit.

--- a/packages/node/src/cassiahatch_node/mesh/client_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/client_connection.py
@@ -169,6 +169,7 @@
         if self._reader.started_at is not None:
             self._reader.fail(Reason.STOPPING, STOPPING_RETRY_AFTER_S)
         self._is_ending = True
+        self._delivery.hand_over()
         self._on_change()
 
     def write(self, data: bytes, expires_at: float) -> None:
--- a/packages/node/src/cassiahatch_node/mesh/delivery.py
+++ b/packages/node/src/cassiahatch_node/mesh/delivery.py
@@ -5,10 +5,14 @@
 import asyncio
 import fcntl
 import select
+import socket
 import struct
 import termios
 
 NO_DESCRIPTOR = -1
+HANDED_OVER_BYTES = 4 * 1024 * 1024
+"""Most bytes that the kernel is asked to take of one connection when the process ends.
+Its own limit (``net.core.wmem_max``) may be lower."""
 _INT = struct.Struct("i")
 
 
@@ -29,14 +33,17 @@
         "_expires_at",
         "_is_complete",
         "_later_bytes",
+        "_socket",
         "_transport",
         "is_lost",
     )
 
     def __init__(self, transport: asyncio.Transport) -> None:
         self._transport = transport
-        socket = transport.get_extra_info("socket")
-        self._descriptor = socket.fileno() if socket is not None else NO_DESCRIPTOR
+        self._socket = transport.get_extra_info("socket")
+        self._descriptor = NO_DESCRIPTOR
+        if self._socket is not None:
+            self._descriptor = self._socket.fileno()
         self._is_complete = True
         self._expires_at = float("-inf")
         """Monotonic seconds until which the last answer is of use to its receiver."""
@@ -81,6 +88,16 @@
         """
         return self._transport.get_write_buffer_size() + self._count_unacknowledged()
 
+    def hand_over(self) -> None:
+        """Let the kernel take what the transport holds, since the process ends.
+
+        The kernel sends on after that.
+        """
+        if self._descriptor != NO_DESCRIPTOR and not self.is_complete:
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, HANDED_OVER_BYTES
+            )
+
     def close(self) -> None:
         """Forget the socket, whose descriptor may soon be that of another one."""
         self._is_complete = True
--- a/packages/node/src/cassiahatch_node/mesh/link_in.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_in.py
@@ -259,6 +259,7 @@
     def end(self) -> None:
         """Take no more calls, and close after the results that have been written."""
         self._is_ending = True
+        self._delivery.hand_over()
         if not self._transport.is_closing():
             self._transport.write_eof()
 
--- a/tests/test_mesh_delivery.py
+++ b/tests/test_mesh_delivery.py
@@ -65,11 +65,14 @@
     return render_request("GET", "/read/1", make_headers(request_id, DEADLINE_MS))
 
 
-async def read_late(process: NodeProcess, size: int) -> int:
+async def read_late(
+    process: NodeProcess, size: int, after_s: float = 0.0, pause_s: float = READ_AFTER_S
+) -> int:
     """Request an answer, read none of it for a while, and return its bytes of body."""
+    await asyncio.sleep(after_s)
     client, loop = connect_slowly(process.fields["clients"]), asyncio.get_running_loop()
     await loop.sock_sendall(client, render_read(str(size)))
-    await asyncio.sleep(READ_AFTER_S)
+    await asyncio.sleep(pause_s)
     parts = []
     try:
         while data := await loop.sock_recv(client, 65_536):
@@ -104,6 +107,22 @@
     run_scenario(scenario, tmp_path)
 
 
+# Such requests are taken, and answered before the process ends, but read only after that.
+@pytest.mark.parametrize("size", [100_000, 125_000, 180_000])
+def test_what_is_not_read_when_the_process_ends_is_sent_after_it(
+    size: int, tmp_path: Path
+) -> None:
+    async def scenario(process: NodeProcess) -> None:
+        process.backend.make_body = lambda request_id: b"y" * int(request_id)
+        clients = [read_late(process, size, 1.4, 4.8) for _ in range(3)]
+        reading = asyncio.gather(*clients)
+        process.child.send_signal(signal.SIGTERM)
+        assert await process.child.wait() == 0
+        assert await reading == [size] * 3
+
+    run_scenario(scenario, tmp_path)
+
+
 PIPELINES = [
     # requests sent at once, seconds of work each, size of each answer, reading pause
     (4, 0.3, 10, 0.0),
