Take no empty line between two requests for the start of one

Callers saw: a client that sends an empty line after a body got a 408 that answers nothing, header_timeout_s later, read it as the answer to its next request, and lost the connection. Cause: any bytes counted as the start of a request, but the parser skips empty lines. Change: a request starts where the parser finds one.

--- a/packages/node/src/cassiahatch_node/mesh/client_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/client_connection.py
@@ -135,8 +135,6 @@
         self.last_data_at = self._server.clock.monotonic()
         if self._failure is not None or self._is_ending or self._is_delivering:
             return
-        if self._request_started_at is None:
-            self._request_started_at = self.last_data_at
         if self._is_in_header:
             self._unfinished_size += len(data)
         try:
@@ -304,8 +302,7 @@
     def on_message_begin(self) -> None:
         """Reset the parser state for a new request."""
         self._message_began_at = self.last_data_at
-        if self._request_started_at is None:
-            self._request_started_at = self.last_data_at
+        self._request_started_at = self.last_data_at
         self._is_checked = False
         self._headers: RawHeaders = []
         self._body: list[bytes] = []
--- a/tests/test_mesh_calm.py
+++ b/tests/test_mesh_calm.py
@@ -114,3 +114,20 @@
         writer.close()
 
     run_scenario(scenario, tmp_path)
+
+
+def test_an_empty_line_after_a_body_is_not_answered(tmp_path: Path) -> None:
+    async def scenario(process: NodeProcess) -> None:
+        await configure(process, header_timeout_s=1)
+        reader, writer = await open_slowly(process.fields["clients"])
+        messages = MessageReader(reader, False)
+        for request_id in ("r1", "r2"):
+            headers = make_headers(request_id)
+            writer.write(render_request("POST", "/read/1", headers, b"body"))
+            answer = await messages.read()
+            assert answer.headers.get("cassiahatch-request-id") == request_id
+            writer.write(b"\r\n")
+            await asyncio.sleep(1.8)
+        writer.close()
+
+    run_scenario(scenario, tmp_path)
