--- a/packages/node/src/cassiahatch_node/mesh/request_reader.py
+++ b/packages/node/src/cassiahatch_node/mesh/request_reader.py
@@ -105,8 +105,6 @@
     def feed(self, data: bytes, now: float) -> None:
         """Parse received data and enforce the header size limit."""
         self._received_at = now
-        if self.started_at is None:
-            self.started_at = now
         if self._is_in_header:
             self._unfinished_size += len(data)
         try:
@@ -149,7 +147,7 @@
         start = b"%s %s HTTP/%s\r\n" % (method, self._target, version.encode())
         self._parser = httptools.HttpRequestParser(self)
         self._parser.feed_data(b"".join((start, *fields, b"\r\n")))
-        self._message_began_at = began_at
+        self._message_began_at = self.started_at = began_at
 
     def pop(self) -> tuple[RawRequest, BodySpace | None]:
         """Remove and return the first request, with the memory of its body."""
@@ -160,8 +158,7 @@
     def on_message_begin(self) -> None:
         """Reset the parser state for a new request."""
         self._message_began_at = self._received_at
-        if self.started_at is None:
-            self.started_at = self._received_at
+        self.started_at = self._received_at
         self._is_checked = False
         self._headers = []
         self._body = []
