Let the end of the process wait for the reader of its log

Operators saw: the last lines of a stopped process, answer_undelivered and stopped among them, were missing when the reader of its output was behind by a full pipe. Change: it waits for the reader with poll, for 0.2 s at most and for no more than half of what is left of the grace period. Evidence: test_the_last_log_lines_wait_for_a_slow_reader_but_not_for_ever failed for the reader that is slow without the wait, and passes now.

--- a/packages/node/src/cassiahatch_node/mesh/journal.py
+++ b/packages/node/src/cassiahatch_node/mesh/journal.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import select
 import sys
 import time
 from collections import Counter
@@ -25,6 +26,9 @@
 MAX_PENDING_BYTES = 262_144
 """Limit on buffered bytes while standard output is not read; further lines are
 dropped."""
+EXIT_WAIT_S = 0.2
+"""Longest time that the end of the process waits for a reader that is slow."""
+MS_PER_S = 1000
 
 _ENCODER = msgspec.json.Encoder()
 
@@ -57,6 +61,8 @@
         self._omitted: Counter[str] = Counter()
         self._lines_by_kind: Counter[tuple[str, Any]] = Counter()
         """Lines of the current second by event and reason."""
+        self.exit_wait_s = EXIT_WAIT_S
+        """Longest wait for the reader on exit."""
 
     def __enter__(self) -> Journal:
         os.set_blocking(self._descriptor, False)
@@ -69,6 +75,16 @@
         traceback: TracebackType | None,
     ) -> None:
         self.flush()
+        self._wait_for_reader()
+
+    def _wait_for_reader(self) -> None:
+        """Write the rest of the buffer, for as long as the reader has time to read it."""
+        ends_at = time.monotonic() + self.exit_wait_s
+        poll = select.poll()
+        poll.register(self._descriptor, select.POLLOUT)
+        while self._pending and (wait_s := ends_at - time.monotonic()) > 0:
+            if poll.poll(wait_s * MS_PER_S):
+                self.flush()
 
     def note(self, event: str, **fields: Any) -> None:
         """Log an event of the process."""
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -28,7 +28,7 @@
 from cassiahatch_node.mesh.front_end import FrontEnd
 from cassiahatch_node.mesh.http_server import ClientServer
 from cassiahatch_node.mesh.ingress import Ingress
-from cassiahatch_node.mesh.journal import Journal
+from cassiahatch_node.mesh.journal import EXIT_WAIT_S, Journal
 from cassiahatch_node.mesh.link_in import LinkService, PeerConnection
 from cassiahatch_node.mesh.link_out import LinkCallbacks, PeerLink
 from cassiahatch_node.mesh.own_backend import OwnBackend
@@ -53,6 +53,9 @@
 DRAIN_MARGIN_S = 0.5
 """Time before the end of the drain period at which a draining backend server gets its
 last call."""
+MAX_EXIT_WAIT_SHARE = 0.5
+"""Largest share of the rest of the grace period for which the end of the process waits
+for the reader of the log."""
 GC_THRESHOLDS = (20_000, 20, 100)
 """Thresholds of the garbage collector, the first one in allocations. They are far above
 the default, because a call allocates some dozens of objects, nearly all of which are
@@ -349,12 +352,13 @@
     async def stop(self) -> None:
         """Stop gracefully: finish the open requests, and serve or reject new ones."""
         self._stopping.set()
+        started_at, grace_s = self._clock.monotonic(), self._settings.stopping.grace_s
         await GracefulStop(
             PLUGINS.create(
                 "stop_admission",
                 self._settings.plugins.stop_admission,
-                self._clock.monotonic(),
-                self._settings.stopping.grace_s,
+                started_at,
+                grace_s,
             ),
             self.backend,
             self._front_end,
@@ -368,6 +372,8 @@
             self.journal,
         ).run()
         self._clients.report_undelivered("stopped")
+        left_s = started_at + grace_s - self._clock.monotonic()
+        self.journal.exit_wait_s = min(EXIT_WAIT_S, MAX_EXIT_WAIT_SHARE * left_s)
 
     async def _tick(self) -> None:
         while True:
--- a/tests/test_mesh_overlaps.py
+++ b/tests/test_mesh_overlaps.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import select
 import signal
+import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 import pytest
 import uvloop
 
+from cassiahatch_node.mesh.journal import EXIT_WAIT_S, Journal
+from cassiahatch_node.observability.metrics import Metrics
 from mesh_site import Backend, MessageReader, Site, make_headers, render_request
 from test_mesh_process import NodeProcess, run_scenario
 
@@ -84,3 +89,38 @@
             writer.close()
 
     uvloop.run(run())
+
+
+def is_empty(descriptor: int) -> bool:
+    return not select.select([descriptor], [], [], 0)[0] or not os.read(descriptor, 1)
+
+
+@pytest.mark.parametrize("reads", [True, False])
+def test_the_last_log_lines_wait_for_a_slow_reader_but_not_for_ever(
+    reads: bool,
+) -> None:
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        read_fd, write_fd = os.pipe()
+        os.set_blocking(read_fd, False)
+        os.write(write_fd, b"\n" * 4096)
+
+        def write_lines() -> float:
+            with Journal("n1", Metrics(), write_fd) as journal:
+                for number in range(1000):
+                    journal.note("line", number=number)
+                journal.note("stopped")
+                started_at = time.monotonic()
+            os.close(write_fd)
+            return time.monotonic() - started_at
+
+        writing, log = loop.run_in_executor(None, write_lines), b""
+        while reads and not (writing.done() and is_empty(read_fd)):
+            await asyncio.sleep(0.01)
+            with suppress(BlockingIOError):
+                log += os.read(read_fd, 16_384)
+        assert log.endswith(b'"stopped"}\n') == reads
+        assert await writing < EXIT_WAIT_S + 0.2
+        os.close(read_fd)
+
+    uvloop.run(run())
