Do not let heartbeats that wait for the store hold a stop up

Operators saw: a node that was stopped while the store was away, or lost its answers, and whose backend server drained, ran until the end of the grace period with no request open. Cause: a heartbeat that reports draining waits up to 0.8 s for the store, and control requests counted as open, so that the node was nearly never idle. Change: they count once the node takes no calls any more; their last one is still answered before the process ends.

--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -437,12 +437,18 @@
         self._links.end()
 
     def _count_open(self) -> int:
-        return (
-            self._clients.busy_count
-            + self.ingress.open_count
-            + self._links.open_count
-            + self._control.open_count
+        """Return the number of open requests and calls, and of control requests.
+
+        The last ones count once no calls are taken: while the store is away, there is
+        nearly always a heartbeat that waits for it.
+        """
+        open_count = (
+            self._clients.busy_count + self.ingress.open_count + self._links.open_count
         )
+        admission = self._front_end.stop_admission
+        if admission is not None and admission.is_closed:
+            open_count += self._control.open_count
+        return open_count
 
     def _start_task(self, run: Callable[[], Awaitable[None]]) -> None:
         """Start a task that runs until the node ends, whatever errors it meets."""
--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -130,6 +130,8 @@
         """Tables can't be read, but transactions are applied."""
         self.loses_answers = False
         """Transactions are applied, but their answers are not sent."""
+        self.delay_s = 0.0
+        """Time that each request waits before it is handled."""
         self.endless_part = ""
         """Part of each answer that never ends, or empty: ``body``, ``chunks`` or
         ``fields``."""
@@ -169,6 +171,7 @@
             writer.close()
             return
         self.request_count += 1
+        await asyncio.sleep(self.delay_s)
         if self.endless_part:
             await self._send_endless(writer)
             return
--- a/tests/test_mesh_overlaps.py
+++ b/tests/test_mesh_overlaps.py
@@ -17,6 +17,7 @@
 from cassiahatch_node.mesh.journal import EXIT_WAIT_S, Journal
 from cassiahatch_node.observability.metrics import Metrics
 from mesh_site import Backend, MessageReader, Site, make_headers, render_request
+from node_fleet import Announce, Configure, Send, Series, Store, run_series
 from test_mesh_process import NodeProcess, run_scenario
 
 
@@ -91,6 +92,54 @@
     uvloop.run(run())
 
 
+TERM, HUP, STOP, CONT = signal.SIGTERM, signal.SIGHUP, signal.SIGSTOP, signal.SIGCONT
+AWAY, LOSES, SLOW = {"is_down": True}, {"loses_answers": True}, {"delay_s": 1.0}
+DRAINS = tuple((0.6 + 0.9 * n, Announce("draining")) for n in range(6))
+HUPS = tuple((0.4 + 0.1 * n, Send(HUP)) for n in range(30))
+SERIES = {
+    "hups_terms_and_configurations": Series(
+        (
+            (0.3, Configure(2.9)),
+            (0.5, Send(TERM)),
+            (0.6, Configure(3.1)),
+            (2.5, Send(TERM)),
+            *HUPS,
+        )
+    ),
+    "suspended_after": Series(
+        ((0.5, Send(TERM)), (0.6, Send(STOP)), (3.1, Send(CONT)))
+    ),
+    "suspended_before": Series(
+        ((0.5, Send(STOP)), (1.0, Send(TERM)), (1.5, Send(CONT)))
+    ),
+    "store_slow": Series(
+        ((0.3, Store(SLOW)), (0.4, Configure(2.9)), (0.5, Send(TERM)), *HUPS)
+    ),
+    "store_away": Series(
+        ((0.3, Store(AWAY)), (0.5, Send(TERM)), *DRAINS), ends_within_s=5.0
+    ),
+    "store_loses_answers": Series(
+        ((0.3, Store(LOSES)), (0.5, Send(TERM)), *DRAINS), ends_within_s=5.0
+    ),
+    "one_after_the_other": Series(
+        tuple((0.5 + 0.5 * n, Send(TERM, n)) for n in range(3)), 0.3, nodes=3
+    ),
+    "calls_of_runs": Series(
+        ((0.5, Send(TERM)), (0.9, Send(TERM, 1))), 0.3, target="/read/chain"
+    ),
+    "unsafe": Series(
+        ((0.5, Send(TERM)), (0.6, Send(TERM, 1))), 2.5, "POST", "/write/1"
+    ),
+}
+
+
+@pytest.mark.parametrize("name", SERIES)
+def test_no_request_is_lost_when_planned_work_and_faults_of_the_store_overlap(
+    name: str, tmp_path: Path
+) -> None:
+    assert uvloop.run(run_series(SERIES[name], tmp_path)) == []
+
+
 def is_empty(descriptor: int) -> bool:
     return not select.select([descriptor], [], [], 0)[0] or not os.read(descriptor, 1)
 
--- a/tests/test_mesh_process.py
+++ b/tests/test_mesh_process.py
@@ -92,28 +92,29 @@
         return self.find_events(event)[-1]
 
     async def announce(self, slots: int = 4, sequence: int = 1) -> None:
+        async with asyncio.timeout(10):
+            while True:
+                try:
+                    status = await self.send_heartbeat("ready", slots, sequence)
+                except ConnectionError:
+                    await asyncio.sleep(0.05)
+                    continue
+                assert status == 200
+                return
+
+    async def send_heartbeat(self, state: str, slots: int, sequence: int) -> int:
         body = {
             "service": "books",
             "address": self.backend.address,
             "zone": "z1",
             "slots": slots,
-            "state": "ready",
+            "state": state,
             "sequence": sequence,
             "born": 1,
         }
         path = f"/v1/Instances.Heartbeat/{self.backend.instance}"
-        control = self.fields["control"]
-        async with asyncio.timeout(10):
-            while True:
-                try:
-                    answer = await send(
-                        control, "POST", path, body=json.dumps(body).encode()
-                    )
-                except ConnectionError:
-                    await asyncio.sleep(0.05)
-                    continue
-                assert answer.status == 200
-                return
+        data = json.dumps(body).encode()
+        return (await send(self.fields["control"], "POST", path, body=data)).status
 
     async def send_request(self, request_id: str, target: str = "/read/1") -> int:
         answer = await send(
