Add a failing test of requests that run at the end of the grace period

Cause: when the time for open requests is over, the stop waits 0.2 s more before it answers them (`_drain` in stopping.py), which passes the time at which the process is to exit: nothing waits until the answers have been received, and with a short grace period the process is killed.

--- a/tests/test_mesh_overlaps.py
+++ b/tests/test_mesh_overlaps.py
@@ -16,7 +16,7 @@
 
 from cassiahatch_node.mesh.journal import EXIT_WAIT_S, Journal
 from cassiahatch_node.observability.metrics import Metrics
-from mesh_site import Backend, MessageReader, Site, make_headers, render_request
+from mesh_site import Backend, MessageReader, Site, make_headers, render_request, send
 from node_fleet import Announce, Configure, Send, Series, Store, run_series
 from test_mesh_process import NodeProcess, run_scenario
 
@@ -140,6 +140,37 @@
     assert uvloop.run(run_series(SERIES[name], tmp_path)) == []
 
 
+SHORT_GRACE_S = 2.0
+
+
+def test_requests_that_run_at_the_end_of_the_grace_are_answered_before_the_process_ends(
+    tmp_path: Path,
+) -> None:
+    async def scenario(process: NodeProcess) -> None:
+        process.backend.work_s = 10.0
+        sending = [
+            asyncio.create_task(
+                send(
+                    process.fields["clients"],
+                    "GET",
+                    "/read/1",
+                    make_headers(name, 2900),
+                )
+            )
+            for name in ("r1", "r2", "r3")
+        ]
+        await asyncio.sleep(0.2)
+        process.child.send_signal(signal.SIGTERM)
+        started_at = time.monotonic()
+        answers = await asyncio.gather(*sending)
+        assert [answer.status for answer in answers] == [502] * 3
+        assert await process.child.wait() == 0
+        assert time.monotonic() - started_at < SHORT_GRACE_S
+        assert not process.find_events("answer_undelivered")
+
+    run_scenario(scenario, tmp_path, grace=str(SHORT_GRACE_S))
+
+
 def is_empty(descriptor: int) -> bool:
     return not select.select([descriptor], [], [], 0)[0] or not os.read(descriptor, 1)
 
