Count the grace period from the signal, not from its notice

Cause, read from the log: SIGTERM came while the node still started, which took long on a busy machine; the grace period counted from when the node began to follow its signals, so that SIGKILL came first. That SIGTERM came earlier was concluded, not logged. Change: the process keeps the time of the signal, and a stop counts from it.

--- a/packages/node/src/cassiahatch_node/mesh/__main__.py
+++ b/packages/node/src/cassiahatch_node/mesh/__main__.py
@@ -23,7 +23,7 @@
 
 
 async def _serve(settings: MeshSettings, path: Path, signals: ProcessSignals) -> None:
-    if signals.is_told_to_stop:
+    if signals.told_to_stop_at is not None:
         return
     async with Sidecar(settings) as sidecar:
         await sidecar.run(path, signals)
--- a/packages/node/src/cassiahatch_node/mesh/process_signals.py
+++ b/packages/node/src/cassiahatch_node/mesh/process_signals.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from types import FrameType
 
+from cassiahatch_kernel.clock import BootClock
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -17,11 +19,19 @@
     before anything listens, and keep what they are told until something follows them.
     """
 
-    __slots__ = ("_loop", "_on_reload", "_on_stop", "is_told_to_stop", "_reloads")
+    __slots__ = (
+        "_clock",
+        "_loop",
+        "_on_reload",
+        "_on_stop",
+        "_reloads",
+        "told_to_stop_at",
+    )
 
     def __init__(self) -> None:
-        self.is_told_to_stop = False
-        """Whether SIGTERM or SIGINT has come."""
+        self._clock = BootClock()
+        self.told_to_stop_at: float | None = None
+        """Monotonic seconds at which the first SIGTERM or SIGINT came, or None."""
         self._reloads = False
         """Whether SIGHUP has come and nothing followed the signals then."""
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -43,7 +53,7 @@
         """
         self._on_stop, self._on_reload = on_stop, on_reload
         self._loop = asyncio.get_running_loop()
-        if self.is_told_to_stop:
+        if self.told_to_stop_at is not None:
             on_stop()
         if self._reloads:
             on_reload()
@@ -58,7 +68,8 @@
             signal.signal(number, signal.SIG_IGN)
 
     def _handle_stop(self, number: int, frame: FrameType | None) -> None:
-        self.is_told_to_stop = True
+        if self.told_to_stop_at is None:
+            self.told_to_stop_at = self._clock.monotonic()
         if self._is_followed():
             self._loop.call_soon_threadsafe(self._on_stop)
 
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -281,7 +281,7 @@
         signals.follow(self._stopping.set, watch.wake)
         self._start_task(watch.run)
         await self._stopping.wait()
-        await self.stop()
+        await self.stop(signals.told_to_stop_at)
 
     def reload(self, settings: MeshSettings) -> None:
         """Apply changed settings, except addresses and plug-ins."""
@@ -349,10 +349,18 @@
             )
             stack.callback(control.stop)
 
-    async def stop(self) -> None:
-        """Stop gracefully: finish the open requests, and serve or reject new ones."""
+    async def stop(self, started_at: float | None = None) -> None:
+        """Stop gracefully: finish the open requests, and serve or reject new ones.
+
+        Parameters
+        ----------
+        started_at : float, optional
+            Monotonic seconds from which the grace period counts, by default now.
+        """
         self._stopping.set()
-        started_at, grace_s = self._clock.monotonic(), self._settings.stopping.grace_s
+        if started_at is None:
+            started_at = self._clock.monotonic()
+        grace_s = self._settings.stopping.grace_s
         await GracefulStop(
             PLUGINS.create(
                 "stop_admission",
--- a/tests/test_mesh_stopping.py
+++ b/tests/test_mesh_stopping.py
@@ -26,6 +26,7 @@
     Site,
     make_headers,
     render_request,
+    send,
 )
 from test_mesh import build_site, run_scenario
 from test_mesh_process import NodeProcess
@@ -244,3 +245,21 @@
             assert results[0].result == expected
 
     run_scenario(scenario)
+
+
+# Guards against a grace period that began when a node that had just started noticed SIGTERM.
+def test_the_grace_period_counts_from_the_signal() -> None:
+    async def scenario(site: Site) -> None:
+        await build_site(site, ["books"])
+        host = site.hosts[0]
+        host.backend.work_s = 10.0
+        client = asyncio.create_task(
+            send(host.client_address, "GET", "/read/1", make_headers("r1", 9000))
+        )
+        await asyncio.sleep(0.3)
+        sidecar = host.sidecar
+        async with asyncio.timeout(2.0):
+            await sidecar.stop(sidecar._clock.monotonic() - 4.0)
+        assert (await client).status == 502
+
+    run_scenario(scenario)
