Take no answer without a configuration for one of a version

The trace: n3 answered 503 'no_configuration' for /v24/ at 758.647 s, had version 21 from a peer at 758.665 s (the store was down) and answered 404 until it had 24; it never had 24 before. Cause: the oracle took any answer but 404 for one of the version, though the rule asks for an effect that an upstream has seen. Change: only answers that name the reason no_configuration don't count; all others still do. A row shows the allowed case; the row of the violation is unchanged.

--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -34,6 +34,8 @@
 MAX_ARRIVAL_DELAY_S = 0.5
 """Allowance for the time between the sending of a request and its arrival, which this
 process records late when it is busy."""
+NO_CONFIGURATION = b"no_configuration"
+"""Reason of a node that has none yet, whose answer says nothing of a version."""
 VERSION_ROUTE_PREFIX = "/v"
 """Prefix of the routes that identify versions of the configuration."""
 
@@ -149,6 +151,8 @@
             continue
         version = int(record.path.strip("/").removeprefix("v"))
         process = record.vm, record.node_start
+        if NO_CONFIGURATION in record.answer.body:
+            continue
         if record.answer.status != 404:
             newest[process] = max(version, newest.get(process, 0))
         elif newest.get(process, 0) >= version:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -205,6 +205,12 @@
     record_request(observations, "b", path="/v9/", answer=make_answer(404), sent_at=2.0)
 
 
+def add_answer_without_configuration(observations: Observations) -> None:
+    body = b'{"error":"no_configuration"}'
+    record_request(observations, "a", path="/v9/", answer=make_answer(503, body))
+    record_request(observations, "b", path="/v9/", answer=make_answer(404), sent_at=2.0)
+
+
 def add_retries_beyond_budget(observations: Observations) -> None:
     for number in range(RETRY_SLACK + 20):
         for at in (1.0, 1.1):
@@ -268,6 +274,7 @@
     (add_answer_without_stamp, "mixed"),
     (add_stray_bytes, "mixed"),
     (add_older_configuration, "config"),
+    (add_answer_without_configuration, ""),
     (add_retries_beyond_budget, "budget"),
     (add_attempts_beyond_limit, "budget"),
     (add_run_after_drain, "drain"),
