Take no request that offered an upgrade for incomplete once it is read

Cause: the start of the request was set after the parser had ended it. Change: the message is dated before it is parsed again.

--- a/packages/node/src/cassiahatch_node/mesh/request_reader.py
+++ b/packages/node/src/cassiahatch_node/mesh/request_reader.py
@@ -138,7 +138,7 @@
         method = self._parser.get_method()
         if method == b"CONNECT":
             raise BadRequestError("CONNECT is not supported")
-        began_at, version = self._message_began_at, self._parser.get_http_version()
+        version = self._parser.get_http_version()
         fields = [
             name + b": " + value + b"\r\n"
             for name, value in self._headers
@@ -146,8 +146,9 @@
         ]
         start = b"%s %s HTTP/%s\r\n" % (method, self._target, version.encode())
         self._parser = httptools.HttpRequestParser(self)
+        received_at, self._received_at = self._received_at, self._message_began_at
         self._parser.feed_data(b"".join((start, *fields, b"\r\n")))
-        self._message_began_at = self.started_at = began_at
+        self._received_at = received_at
 
     def pop(self) -> tuple[RawRequest, BodySpace | None]:
         """Remove and return the first request, with the memory of its body."""
--- a/tests/test_mesh_upgrades.py
+++ b/tests/test_mesh_upgrades.py
@@ -61,6 +61,8 @@
         with pytest.raises(TimeoutError):
             async with asyncio.timeout(0.1):
                 await messages.read()
+        # A request that seemed incomplete would be answered 408.
+        assert not site.hosts[0].sidecar._clients.open_count
         writer.close()
 
     run_scenario(scenario)
