Identify tenants by their API keys

Change: the configuration has tenants and public routes; a request is identified before anything else is decided, by one lookup. A request without a valid key gets 401, a call of a run belongs to the run's tenant, a tenant's priority goes before the route's. The backend server gets the tenant's name, never the key. Without tenants both fields are forwarded as before.

--- a/packages/kernel/src/cassiahatch_kernel/configurations.py
+++ b/packages/kernel/src/cassiahatch_kernel/configurations.py
@@ -8,6 +8,7 @@
 
 from cassiahatch_kernel.errors import CodedError
 from cassiahatch_kernel.routes import Limits, RouteRule
+from cassiahatch_kernel.tenants import Tenant
 
 
 class BadConfigurationError(CodedError):
@@ -25,6 +26,8 @@
     limits: Limits
     unknown_kinds: tuple[str, ...] = ()
     """Kinds of routes that this version does not know, in alphabetical order."""
+    tenants: tuple[Tenant, ...] = ()
+    """Tenants, in alphabetical order; if there are any, requests need keys."""
 
 
 class ConfigurationSource(Protocol):
--- a/packages/kernel/src/cassiahatch_kernel/exchanges.py
+++ b/packages/kernel/src/cassiahatch_kernel/exchanges.py
@@ -30,6 +30,10 @@
     """The node already holds as many bytes of request bodies as it may."""
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+    """The request carries no key of a tenant, or several keys."""
+    UNKNOWN_PARENT = "unknown_parent"
+    """The call belongs to no run that the node knows, and carries no key."""
     NO_MEMBER = "no_member"
     """No backend server of the service could be reached."""
     EDGE_OVERLOAD = "edge_overload"
@@ -107,6 +111,9 @@
     """Time of the node's monotonic clock at which the request was read."""
     timeout_s: float | None
     """How long the client waits from ``arrived`` on; None if it did not say."""
+    api_key: bytes = b""
+    """Key of the tenant, which stays at this node; empty if the request carries none,
+    or several."""
 
 
 class Call(msgspec.Struct, array_like=True, frozen=True):
@@ -140,6 +147,8 @@
     """Milliseconds from the moment of sending until the latency target of the root
     request passes; negative once it has passed."""
     attempt_kind: AttemptKind = AttemptKind.FIRST
+    tenant: str = ""
+    """Name of the tenant that the root request belongs to; empty for none."""
 
 
 class Reply(msgspec.Struct, array_like=True, tag=1, frozen=True):
--- a/packages/kernel/src/cassiahatch_kernel/routes.py
+++ b/packages/kernel/src/cassiahatch_kernel/routes.py
@@ -45,6 +45,8 @@
     """Number of backend servers to which one request may be sent."""
     priority: int
     """Rank of the route; 0 is the most urgent."""
+    is_public: bool = False
+    """Whether its requests need no key, also if there are tenants."""
 
     @property
     def is_idempotent(self) -> bool:
--- a/packages/node/src/cassiahatch_node/mesh/dialect.py
+++ b/packages/node/src/cassiahatch_node/mesh/dialect.py
@@ -22,9 +22,14 @@
     The plug-in is selected by the ``dialect`` setting.
     """
 
-    def decode_request(self, raw: RawRequest) -> Request:
+    def decode_request(self, raw: RawRequest, has_tenants: bool = False) -> Request:
         """Decode a client's request.
 
+        Parameters
+        ----------
+        has_tenants : bool, optional
+            Whether keys identify tenants, so that they are not forwarded.
+
         Raises
         ------
         BadRequestError
--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -19,6 +19,7 @@
 )
 from cassiahatch_kernel.members import Member
 from cassiahatch_kernel.routes import RouteRule, RouteTable
+from cassiahatch_kernel.tenants import TenantTable
 from cassiahatch_node.mesh.call_graph import CallGraph
 from cassiahatch_node.mesh.crash_watch import CrashWatch
 from cassiahatch_node.mesh.directory import Directory
@@ -27,6 +28,11 @@
 from cassiahatch_node.mesh.request_state import RequestState, combine_results
 from cassiahatch_node.mesh.spans import Hop, Spans, format_result
 from cassiahatch_node.observability.metrics import Metrics
+from cassiahatch_policies.identification import (
+    Identity,
+    identify_call,
+    identify_request,
+)
 from cassiahatch_policies.placement import Endpoint, is_outlier
 from cassiahatch_policies.positions import compute_position
 from cassiahatch_policies.retry_budget import allows_retry
@@ -106,6 +112,8 @@
         self._journal = journal
         self.table: RouteTable | None = None
         """The current routes; None until the node has received a configuration."""
+        self.tenants = TenantTable()
+        """Tenants of the configuration in force."""
         self.is_ending = False
         """Whether the process ends, so that nothing is sent any more."""
 
@@ -116,16 +124,33 @@
             return Rejection(Reason.NO_CONFIGURATION, NOT_READY_RETRY_AFTER_S)
         return table.find(request.host, request.target) or Rejection(Reason.NO_ROUTE)
 
-    async def serve(self, request: Request, rule: RouteRule) -> Result:
+    def identify(self, request: Request, rule: RouteRule) -> Identity | Rejection:
+        """Return whose request it is and its rank, or a rejection.
+
+        A call of a run at the local backend server belongs to the tenant of that run.
+        """
+        if not request.parent:
+            return identify_request(self.tenants, rule, request.api_key)
+        parent = self._ingress.running.get(request.parent)
+        if parent is None and request.api_key:
+            return identify_request(self.tenants, rule, request.api_key)
+        parent_call = None if parent is None else parent.call
+        return identify_call(self.tenants, rule, parent_call)
+
+    async def serve(
+        self, request: Request, rule: RouteRule, identity: Identity
+    ) -> Result:
         """Send an admitted request from a local client and return its result."""
-        state = self._create_state(request, rule)
+        state = self._create_state(request, rule, identity)
         result = await self._send_with_retries(state)
         if self._spans.is_sampled(state.position):
             spent_s = self._clock.monotonic() - request.arrived
             self._spans.write(Hop.REQUEST, request.id, spent_s, result, route=rule.name)
         return result
 
-    def find_overload(self, request: Request, rule: RouteRule) -> Rejection | None:
+    def find_overload(
+        self, request: Request, rule: RouteRule, identity: Identity
+    ) -> Rejection | None:
         """Return the rejection of a root request beyond its route's cutoff.
 
         Only the head of the request needs to have been read. One that is admitted may
@@ -133,7 +158,7 @@
         """
         if request.parent:
             return None
-        position = compute_position(rule.priority, request.root)
+        position = compute_position(identity.rank, request.root)
         if not self._graph.admits(rule.name, position, request.arrived):
             retry_after_s = self._random.uniform(*EDGE_RETRY_AFTER_S)
             self._journal.trace(
@@ -141,6 +166,7 @@
                 request=request.id,
                 reason=Reason.EDGE_OVERLOAD,
                 route=rule.name,
+                tenant=identity.tenant,
                 position=round(position, 3),
                 cutoff=round(
                     self._graph.get_reported_cutoff(rule.name, request.arrived), 3
@@ -149,21 +175,23 @@
             return Rejection(Reason.EDGE_OVERLOAD, retry_after_s)
         return None
 
-    def _create_state(self, request: Request, rule: RouteRule) -> RequestState:
-        rank = rule.priority
+    def _create_state(
+        self, request: Request, rule: RouteRule, identity: Identity
+    ) -> RequestState:
         root_target_at = request.arrived + rule.target_latency_s
         parent = self._ingress.running.get(request.parent) if request.parent else None
         is_caused_by_retry = self._ingress.was_caused_by_retry(request.parent)
         if parent is not None:
-            rank, root_target_at = parent.call.rank, parent.root_target_at
+            root_target_at = parent.root_target_at
             self._graph.record_call(parent.call.route, rule.name)
         return RequestState(
             request,
             rule,
             self.table.choose_service(rule),
             compute_expiry(request, rule),
-            rank,
-            compute_position(rank, request.root),
+            identity.rank,
+            compute_position(identity.rank, request.root),
+            identity.tenant,
             root_target_at,
             is_caused_by_retry,
         )
@@ -336,6 +364,7 @@
             rule.is_idempotent,
             (state.root_target_at - now) * MS_PER_S,
             state.attempt_kind,
+            state.tenant,
         )
 
     def _update_health(self, endpoint: Endpoint, outcome: Result) -> None:
--- a/packages/node/src/cassiahatch_node/mesh/front_end.py
+++ b/packages/node/src/cassiahatch_node/mesh/front_end.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 from cassiahatch_kernel.clock import Clock
 from cassiahatch_kernel.exchanges import (
     Indeterminate,
@@ -25,6 +27,7 @@
 from cassiahatch_node.mesh.http_messages import RawRequest
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.observability.metrics import Metrics
+from cassiahatch_policies.identification import Identity
 
 DEFAULT_WAIT_S = 60.0
 """Time for which a client that names no deadline is taken to wait for its answer."""
@@ -32,6 +35,13 @@
 """``Retry-After`` of a rejection that gives no time of its own."""
 
 
+class Admission(msgspec.Struct, frozen=True):
+    """The route and the identity of a request that may be served."""
+
+    rule: RouteRule
+    identity: Identity
+
+
 class FrontEnd:
     """Serves client requests in the encoding of a dialect.
 
@@ -73,11 +83,11 @@
             request = self._decode(raw)
         except BadRequestError:
             return Rejection(Reason.BAD_REQUEST)
-        match self._egress.find_route(request):
-            case RouteRule() as rule:
-                return self._find_rejection(request, rule)
-            case rejection:
+        match self._admit(request):
+            case Rejection() as rejection:
                 return rejection
+            case _:
+                return None
 
     async def serve(self, connection: ClientConnection, raw: RawRequest) -> None:
         """Serve one request and write its response."""
@@ -115,7 +125,9 @@
         """
         connection.closes = True
         try:
-            request = self._dialect.decode_request(raw) if raw is not None else None
+            request = None
+            if raw is not None:
+                request = self._dialect.decode_request(raw, self._has_tenants)
         except BadRequestError:
             request = None
         if request is not None:
@@ -140,6 +152,10 @@
             pending_bytes=pending_bytes,
         )
 
+    @property
+    def _has_tenants(self) -> bool:
+        return self._egress.tenants.has_tenants
+
     def _decode(self, raw: RawRequest) -> Request:
         """Decode a request, dated to when its client may have sent it.
 
@@ -148,25 +164,43 @@
         BadRequestError
             If the request lacks a required header or value.
         """
-        request = self._dialect.decode_request(raw)
+        request = self._dialect.decode_request(raw, self._has_tenants)
         request.arrived = self._compute_earliest_sending(raw.arrived)
         return request
 
     async def _answer(self, request: Request, is_checked: bool) -> Result:
+        match self._admit(request, is_checked):
+            case Admission(rule=rule, identity=identity):
+                return await self._egress.serve(request, rule, identity)
+            case rejection:
+                return rejection
+
+    def _admit(
+        self, request: Request, is_checked: bool = False
+    ) -> Admission | Rejection:
+        """Admit a request, or return why it is rejected.
+
+        Parameters
+        ----------
+        is_checked : bool, optional
+            Whether it was admitted before its body was read. The cutoff is not applied
+            again, but the deadline and the configuration may have changed since.
+        """
         match self._egress.find_route(request):
-            case RouteRule() as rule if is_checked:
-                rejection = self._find_late_rejection(request, rule)
             case RouteRule() as rule:
-                rejection = self._find_rejection(request, rule)
+                rejection = self._find_late_rejection(request, rule)
+            case rejection:
+                return rejection
+        if rejection is not None:
+            return rejection
+        match self._egress.identify(request, rule):
+            case Identity() as identity if is_checked:
+                return Admission(rule, identity)
+            case Identity() as identity:
+                rejection = self._egress.find_overload(request, rule, identity)
+                return rejection or Admission(rule, identity)
             case rejection:
                 return rejection
-        return rejection or await self._egress.serve(request, rule)
-
-    def _find_rejection(self, request: Request, rule: RouteRule) -> Rejection | None:
-        """Return why a request of a route is not admitted, or None."""
-        return self._find_late_rejection(request, rule) or self._egress.find_overload(
-            request, rule
-        )
 
     def _find_late_rejection(
         self, request: Request, rule: RouteRule
@@ -236,6 +270,8 @@
     match result:
         case Rejection(reason=Reason.BAD_REQUEST):
             return 400
+        case Rejection(reason=Reason.UNKNOWN_KEY):
+            return 401
         case Rejection(reason=Reason.NO_ROUTE):
             return 404
         case Rejection(reason=Reason.SLOW_REQUEST):
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -14,6 +14,7 @@
 from cassiahatch_kernel.members import Member
 from cassiahatch_kernel.registry import MESH_GROUP, PLUGINS, load_plugins
 from cassiahatch_kernel.routes import Limits, RouteTable
+from cassiahatch_kernel.tenants import Tenant, TenantTable
 from cassiahatch_node.mesh.announcement_handler import AnnouncementHandler
 from cassiahatch_node.mesh.answer_memory import AnswerMemory
 from cassiahatch_node.mesh.arrivals import ArrivalLog
@@ -89,6 +90,7 @@
         self._stack = AsyncExitStack()
         self._stopping = asyncio.Event()
         self._limits = Limits()
+        self._tenants: tuple[Tenant, ...] = ()
         self._servers: list[asyncio.Server] = []
         self._wire(journal_fd)
 
@@ -396,6 +398,7 @@
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._limits = configuration.limits
+        self._apply_tenants(configuration)
         self.egress.table = RouteTable(
             configuration.version,
             configuration.rules,
@@ -403,6 +406,20 @@
             self._random,
         )
 
+    def _apply_tenants(self, configuration: Configuration) -> None:
+        if configuration.tenants == self._tenants:
+            return
+        self._tenants = configuration.tenants
+        self.egress.tenants = TenantTable(configuration.tenants)
+        self.journal.note(
+            "tenants_in_force",
+            version=configuration.version,
+            tenants=len(configuration.tenants),
+        )
+        ambiguous = self.egress.tenants.ambiguous_tenants
+        if ambiguous:
+            self.journal.note("ambiguous_api_key", tenants=ambiguous)
+
     def _create_link(self, member: Member) -> PeerLink:
         callbacks = LinkCallbacks(
             self.directory.record_load,
--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -661,7 +661,12 @@
             await host.announce()
         return host
 
-    def configure(self, routes: dict[str, dict], **limits: object) -> None:
+    def configure(
+        self,
+        routes: dict[str, dict],
+        tenants: dict[str, dict] | None = None,
+        **limits: object,
+    ) -> None:
         """Write a new version of the configuration to the store."""
         self.config_version += 3
         defaults = {"host": "h.example", "kind": "safe", "timeout_s": 3}
@@ -670,6 +675,7 @@
             "version": f"r{self.config_version}",
             "routes": {name: defaults | route for name, route in routes.items()},
             "services": {},
+            "tenants": tenants or {},
             "limits": {
                 "max_header_bytes": 16384,
                 "max_body_bytes": 1_000_000,
