Count a request's latency target no later than its deadline

Cause: a route's target may exceed its timeout. Change: the target is the earlier of target and deadline, in the order of the queue and in placement.

--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -178,7 +178,7 @@
     def _create_state(
         self, request: Request, rule: RouteRule, identity: Identity
     ) -> RequestState:
-        root_target_at = request.arrived + rule.target_latency_s
+        root_target_at = compute_target(request, rule)
         parent = self._ingress.running.get(request.parent) if request.parent else None
         is_caused_by_retry = self._ingress.was_caused_by_retry(request.parent)
         if parent is not None:
@@ -243,7 +243,7 @@
         endpoints = self._directory.list_endpoints(state.service)
         if state.attempt_kind is AttemptKind.RETRY:
             endpoints = self._list_within_retry_budget(endpoints, state)
-        target_at = state.request.arrived + state.rule.target_latency_s
+        target_at = compute_target(state.request, state.rule)
         time_to_target_ms = (target_at - now) * MS_PER_S
         if len(state.sent_to) < state.rule.max_attempts:
             excluded = state.sent_to | state.rejected_by
@@ -345,7 +345,7 @@
     def _make_call(self, state: RequestState, member: Member, now: float) -> Call:
         request, rule = state.request, state.rule
         remaining_s = state.expires_at - now - REMOTE_DEADLINE_MARGIN_S
-        target_s = request.arrived + rule.target_latency_s - now
+        target_s = compute_target(request, rule) - now
         return Call(
             request.id,
             rule.name,
@@ -415,6 +415,15 @@
     return request.arrived + timeout_s
 
 
+def compute_target(request: Request, rule: RouteRule) -> float:
+    """Return when the latency target of a request passes, in monotonic seconds.
+
+    It is no later than the deadline. Otherwise, calls of a route whose timeout is shorter
+    than its target would be queued behind requests that can wait longer.
+    """
+    return min(request.arrived + rule.target_latency_s, compute_expiry(request, rule))
+
+
 def _set_deadline_exceeded(future: asyncio.Future[Result]) -> None:
     if not future.done():
         future.set_result(Indeterminate(Reason.DEADLINE))
--- a/tests/test_mesh_policies.py
+++ b/tests/test_mesh_policies.py
@@ -18,6 +18,7 @@
     Reason,
     Rejection,
     Reply,
+    Request,
     Result,
 )
 from cassiahatch_kernel.routes import (
@@ -28,6 +29,7 @@
     WeightedRoundRobin,
     WeightedService,
 )
+from cassiahatch_node.mesh.egress import compute_target
 from cassiahatch_node.mesh.own_backend import Announcement, BackendState, OwnBackend
 from cassiahatch_node.mesh.request_state import combine_results
 from cassiahatch_policies.cutoff import PathCutoff, WaitCutoff
@@ -77,6 +79,25 @@
     assert table.find("other", target) is None
 
 
+TARGETS = [
+    # timeout and target of the route; deadline of the client; target of the request
+    (5.0, 1.2, 5.0, 1.2),
+    (2.0, 4.0, 5.0, 2.0),
+    (5.0, 1.2, 0.7, 0.7),
+    (2.0, 4.0, None, 2.0),
+]
+
+
+@pytest.mark.parametrize(("timeout_s", "target_s", "deadline_s", "expected"), TARGETS)
+def test_route_with_a_target_beyond_its_timeout_does_not_starve(
+    timeout_s: float, target_s: float, deadline_s: float | None, expected: float
+) -> None:
+    part = WeightedService("s")
+    rule = RouteRule("r", "h", "/", (part,), RouteKind.SAFE, timeout_s, target_s, 2, 0)
+    request = Request("1", "1", "", "GET", "h", "/", b"", b"", 100.0, deadline_s)
+    assert compute_target(request, rule) == 100.0 + expected
+
+
 # Hypothesis seeds the examples with the source of this class, except its comments: a
 # changed name or docstring in it gives other examples.
 class BudgetMachine(RuleBasedStateMachine):
