Retry no failure on a path that rejects requests for overload

Cause: backend servers answer 500 when a downstream call fails, so under an overload downstream many of them looked like outliers, and failures were retried at every level of the chain. Change: a failure is not retried while the route's path reports a cutoff within a rank of the request's position.

--- a/packages/node/src/cassiahatch_node/mesh/call_graph.py
+++ b/packages/node/src/cassiahatch_node/mesh/call_graph.py
@@ -9,6 +9,9 @@
 from cassiahatch_policies.cutoff import PathCutoff
 from cassiahatch_policies.retry_budget import PathRetryUse
 
+OVERLOAD_MARGIN = 1.0
+"""Distance in ranks from the reported cutoff within which failures count as overload."""
+
 
 class CallGraph:
     """Routes that the runs of each route at the local backend server call.
@@ -75,6 +78,14 @@
         path = self._cutoffs.get(route)
         return OPEN_CUTOFF if path is None else path.read(now)
 
+    def is_overloaded(self, route: str, position: float, now: float) -> bool:
+        """Return whether a route's path rejects requests close to a position.
+
+        A failure on such a path is probably one of overload. A retry would only add to
+        the load, whichever backend server it is sent to.
+        """
+        return self.get_reported_cutoff(route, now) < position + OVERLOAD_MARGIN
+
     def record_path_report(self, route: str, cutoff: float, use: float) -> None:
         """Update the state of a route from a result that it returned.
 
--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -400,6 +400,8 @@
                 return False
             case Reply() if not self._is_outlier(endpoint, state.service):
                 return False
+            case Reply() if self._graph.is_overloaded(rule.name, state.position, now):
+                return False
             case Indeterminate() | Reply():
                 return rule.is_idempotent and len(state.sent_to) < rule.max_attempts
 
--- a/tests/test_mesh_policies.py
+++ b/tests/test_mesh_policies.py
@@ -29,6 +29,7 @@
     WeightedRoundRobin,
     WeightedService,
 )
+from cassiahatch_node.mesh.call_graph import CallGraph
 from cassiahatch_node.mesh.egress import compute_target
 from cassiahatch_node.mesh.own_backend import Announcement, BackendState, OwnBackend
 from cassiahatch_node.mesh.request_state import combine_results
@@ -37,6 +38,7 @@
 from cassiahatch_policies.positions import compute_position
 from cassiahatch_policies.retry_budget import RetryBudget
 from cassiahatch_policies.slot_queue import Job, SlotQueue
+from fakes import FakeClock
 
 WEIGHTS = [(90, 10), (1, 1, 1), (70, 20, 10), (5,), (999, 1)]
 
@@ -79,6 +81,30 @@
     assert table.find("other", target) is None
 
 
+OVERLOADS = [
+    # cutoff reported for the route, None without a report; position of the request;
+    # seconds since the report; whether the path is overloaded
+    (None, 2.5, 0.0, False),
+    (OPEN_CUTOFF, 2.5, 0.0, False),
+    (2.4, 2.5, 0.0, True),
+    (2.4, 2.1, 0.0, True),
+    (2.4, 0.3, 0.0, False),
+    (2.4, 2.5, 3.0, False),
+]
+
+
+@pytest.mark.parametrize(("cutoff", "position", "age_s", "expected"), OVERLOADS)
+def test_failure_on_an_overloaded_path_is_not_retried(
+    cutoff: float | None, position: float, age_s: float, expected: bool
+) -> None:
+    clock = FakeClock()
+    graph = CallGraph(clock, lambda: OPEN_CUTOFF, lambda: 0.0)
+    if cutoff is not None:
+        graph.record_path_report("read", cutoff, 0.0)
+    clock.now += age_s
+    assert graph.is_overloaded("read", position, clock.now) == expected
+
+
 TARGETS = [
     # timeout and target of the route; deadline of the client; target of the request
     (5.0, 1.2, 5.0, 1.2),
