Do not delay the first requests of the system's first start

Cause: until the first answer of its backend server, a node sent two requests a second, since earlier answers might have named a lower rate. At the first start there is no earlier answer, and up to 13 calls waited and expired beside 30 free slots. Change: at the first start no limit applies until an answer names one; a node that starts again is as careful as before.

--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -152,7 +152,7 @@
                 self.response_limits,
                 self.ingress.record_answer,
             ),
-            PLUGINS.create("rate_limit", plugins.rate_limit),
+            PLUGINS.create("rate_limit", plugins.rate_limit, node.is_first_start),
             lambda: probe_backend(backend_host, backend_port),
             crashes,
             self.spans,
--- a/packages/policies/src/cassiahatch_policies/rate_limit.py
+++ b/packages/policies/src/cassiahatch_policies/rate_limit.py
@@ -21,12 +21,20 @@
 
 @PLUGINS.register("rate_limit", "token-bucket")
 class TokenBucket:
-    """Spaces out the requests to a backend server at the rate that it names."""
+    """Spaces out the requests to a backend server at the rate that it names.
+
+    Parameters
+    ----------
+    is_first_start : bool
+        Whether no process has run before, so that no earlier answer can have named a
+        limit. Requests are then not limited until an answer names one: otherwise the
+        first requests of the day would wait while the backend server has free slots.
+    """
 
     __slots__ = ("_burst", "_rate_per_s", "_refilled_at", "_tokens", "is_known")
 
-    def __init__(self) -> None:
-        self._rate_per_s: float | None = UNKNOWN_RATE_PER_S
+    def __init__(self, is_first_start: bool = False) -> None:
+        self._rate_per_s = None if is_first_start else UNKNOWN_RATE_PER_S
         self._burst = 1.0
         self._tokens = 1.0
         self._refilled_at = float("-inf")
--- a/tests/test_mesh_limits.py
+++ b/tests/test_mesh_limits.py
@@ -203,6 +203,25 @@
     assert metadata.head.count(b"Server-Limit") == len(values)
 
 
+STARTS = [
+    # whether it is the first start; requests that may be sent at once
+    (True, 20),
+    (False, 1),
+]
+
+
+@pytest.mark.parametrize(("is_first_start", "expected"), STARTS)
+def test_first_requests_of_a_first_start_do_not_wait(
+    is_first_start: bool, expected: int
+) -> None:
+    bucket = TokenBucket(is_first_start)
+    sent = 0
+    while sent < 20 and bucket.compute_delay_s(10.0) <= 0.0:
+        bucket.take(10.0)
+        sent += 1
+    assert sent == expected
+
+
 class TokenBucketMachine(RuleBasedStateMachine):
     """A bucket under changing limits never sends more than they bear in any window.
 
