Lease the configuration, so that a removed key stops in bounded time

Cause: a node that hears of no new configuration served removed keys for as long as it was cut off. Change: with [revocation] a node serves requests with keys only while the age of its configuration, with all uncertainty, is below max_delay_s less a tenth. Ages count from the last store time at which the version in force had all changes. The store's clock has two bounds: what was received gives the one, and the time at which a request was sent gives the other; the second is renewed by a poll that is not held, or by a Hello to a reader, when it has grown to 0.2 s. Both loosen by 1 ms a second. Hello and ReaderFrame carry the uncertainty. Without the section nothing is rejected and nothing is renewed. Store away, peers, suspension and delays have no tests of their own yet.

--- a/packages/kernel/src/cassiahatch_kernel/exchanges.py
+++ b/packages/kernel/src/cassiahatch_kernel/exchanges.py
@@ -34,6 +34,8 @@
     """The request carries no key of a tenant, or several keys."""
     UNKNOWN_PARENT = "unknown_parent"
     """The call belongs to no run that the node knows, and carries no key."""
+    CONFIGURATION_EXPIRED = "configuration_expired"
+    """The configuration in force may be too old to decide whether a key is still valid."""
     NO_MEMBER = "no_member"
     """No backend server of the service could be reached."""
     EDGE_OVERLOAD = "edge_overload"
--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -25,6 +25,7 @@
 from cassiahatch_node.mesh.directory import Directory
 from cassiahatch_node.mesh.ingress import Ingress
 from cassiahatch_node.mesh.journal import Journal
+from cassiahatch_node.mesh.lease import LeaseWatch
 from cassiahatch_node.mesh.request_state import RequestState, combine_results
 from cassiahatch_node.mesh.spans import Hop, Spans, format_result
 from cassiahatch_node.observability.metrics import Metrics
@@ -114,6 +115,9 @@
         """The current routes; None until the node has received a configuration."""
         self.tenants = TenantTable()
         """Tenants of the configuration in force."""
+        self.lease: LeaseWatch | None = None
+        """The lease on the configuration; None if keys need no revocation in bounded
+        time."""
         self.is_ending = False
         """Whether the process ends, so that nothing is sent any more."""
 
@@ -128,7 +132,15 @@
         """Return whose request it is and its rank, or a rejection.
 
         A call of a run at the local backend server belongs to the tenant of that run.
+        A key counts only while the configuration lease holds.
         """
+        match self._find_identity(request, rule):
+            case Identity(has_key=True) as identity if self.lease is not None:
+                return self.lease.find_rejection() or identity
+            case result:
+                return result
+
+    def _find_identity(self, request: Request, rule: RouteRule) -> Identity | Rejection:
         if not request.parent:
             return identify_request(self.tenants, rule, request.api_key)
         parent = self._ingress.running.get(request.parent)
--- a/packages/node/src/cassiahatch_node/mesh/frames.py
+++ b/packages/node/src/cassiahatch_node/mesh/frames.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import Annotated
 
 import msgspec
@@ -45,6 +46,15 @@
     members_confirmed_at: float = 0.0
     """Store times at which these versions were last known to be the newest; 0 if the
     sender does not know."""
+    store_time: float = 0.0
+    """A store time that had passed when the message was made; 0 if none is known."""
+    uncertainty_s: float = inf
+    """Seconds by which the store's clock may have been ahead of ``store_time``."""
+    sent_at: float = 0.0
+    """Monotonic seconds of the sender when it made the message."""
+    answers_sent_at: float = 0.0
+    """``sent_at`` of the ``Hello`` that this one answers; 0 if it answers none. The
+    receiver thereby knows how long the message may have been on its way."""
 
 
 class CallFrame(msgspec.Struct, array_like=True, tag=1, frozen=True):
@@ -117,6 +127,8 @@
     members_version: int
     config_confirmed_at: float = 0.0
     members_confirmed_at: float = 0.0
+    uncertainty_s: float = inf
+    """Uncertainty of the reader's estimate of the store's clock, in seconds."""
 
 
 class CrashFrame(msgspec.Struct, array_like=True, tag=8, frozen=True):
--- a/packages/node/src/cassiahatch_node/mesh/link_in.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_in.py
@@ -342,7 +342,10 @@
         self._service.on_hello(hello)
         self._service.on_peer_connected(hello.node_id)
         service = self._service
-        self.write(encode_frame(service.make_hello()))
+        answer = msgspec.structs.replace(
+            service.make_hello(), answers_sent_at=hello.sent_at
+        )
+        self.write(encode_frame(answer))
         self.write(encode_frame(LoadFrame(service.ingress.load)))
         for crash in service.make_crash_frames():
             self.write(encode_frame(crash))
--- a/packages/node/src/cassiahatch_node/mesh/readers.py
+++ b/packages/node/src/cassiahatch_node/mesh/readers.py
@@ -86,7 +86,7 @@
         self.is_reader = True
 
     def on_reader_frame(self, node_id: str, frame: ReaderFrame) -> None:
-        """Record a reader's heartbeat, and request an update if this node is behind."""
+        """Record a reader's heartbeat, and request an update if it can tell something."""
         if self._directory.find_zone(node_id) == self._zone:
             self._heartbeats[node_id] = frame
         self._store_sync.confirm(frame)
@@ -113,7 +113,7 @@
             self._update_role(is_fresh)
             if not is_fresh:
                 self._request_updates()
-            elif self.is_reader and not self._store_sync.is_store_available:
+            elif self.is_reader and not self._store_sync.answers.is_available:
                 self._request_updates()
                 self._send_heartbeats()
 
@@ -131,7 +131,7 @@
                 "reader",
                 is_reader=is_reader,
                 ahead=ahead,
-                answer_ages_s=self._store_sync.measure_answer_ages(),
+                answer_ages_s=self._store_sync.answers.measure_ages(),
             )
 
     def _send_heartbeats(self) -> None:
@@ -172,5 +172,5 @@
                 "copies_fresh" if is_fresh else "copies_stale",
                 config_version=self._store_sync.config_version,
                 members_version=self._store_sync.members_version,
-                answer_ages_s=self._store_sync.measure_answer_ages(),
+                answer_ages_s=self._store_sync.answers.measure_ages(),
             )
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -30,6 +30,7 @@
 from cassiahatch_node.mesh.http_server import ClientServer
 from cassiahatch_node.mesh.ingress import Ingress
 from cassiahatch_node.mesh.journal import EXIT_WAIT_S, Journal
+from cassiahatch_node.mesh.lease import LeaseWatch
 from cassiahatch_node.mesh.link_in import LinkService, PeerConnection
 from cassiahatch_node.mesh.link_out import LinkCallbacks, PeerLink
 from cassiahatch_node.mesh.own_backend import OwnBackend
@@ -183,6 +184,7 @@
             self.journal,
         )
         self.store_sync.on_confirmed = self.readers.on_confirmed
+        self.store_sync.require_bounds(settings.revocation is not None)
         peer_host, peer_port = split_address(node.advertised or node.peers)
         own = Member(
             node.id, peer_host, peer_port, node.zone, int(clock.wall() * MS_PER_S)
@@ -210,6 +212,7 @@
             self.metrics,
             self.journal,
         )
+        self.egress.lease = self._make_lease(settings)
         self._front_end = FrontEnd(
             dialect,
             self.egress,
@@ -287,12 +290,26 @@
 
     def reload(self, settings: MeshSettings) -> None:
         """Apply changed settings, except addresses and plug-ins."""
-        self._settings = settings
+        previous, self._settings = self._settings.revocation, settings
         self.backend.drain_s = settings.stopping.drain_s - DRAIN_MARGIN_S
         self.spans.share = settings.spans.share
         self.body_memory.max_total_bytes = settings.bodies.max_total_bytes
         retries = settings.retries
         self.budget.set_limits(retries.ratio, retries.slack, retries.window_s)
+        if settings.revocation != previous:
+            self.store_sync.require_bounds(settings.revocation is not None)
+            self.egress.lease = self._make_lease(settings)
+
+    def _make_lease(self, settings: MeshSettings) -> LeaseWatch | None:
+        revocation = settings.revocation
+        if revocation is None:
+            return None
+        lease = PLUGINS.create(
+            "configuration_lease",
+            settings.plugins.configuration_lease,
+            revocation.max_delay_s,
+        )
+        return LeaseWatch(lease, self.store_sync, self.metrics, self.journal)
 
     async def _open(self) -> None:
         stack, node = self._stack, self._settings.node
@@ -389,6 +406,8 @@
     async def _tick(self) -> None:
         while True:
             self._links.tick()
+            if self.egress.lease is not None:
+                self.egress.lease.check()
             await asyncio.sleep(TICK_INTERVAL_S)
 
     def _on_members_applied(self) -> None:
--- a/packages/node/src/cassiahatch_node/mesh/settings.py
+++ b/packages/node/src/cassiahatch_node/mesh/settings.py
@@ -110,6 +110,15 @@
     its backend server: a quarter of the smallest node's memory, 200 MB."""
 
 
+class RevocationSection(Section):
+    """Bounded-time revocation of API keys."""
+
+    max_delay_s: Annotated[float, Meta(ge=2, le=3600)] = 5.0
+    """Seconds after the acknowledgement of a configuration from which on a request with
+    a key that it removed runs nowhere. Copies are confirmed every 0.8 s, and asked for
+    when they are 1.2 s old, so a shorter delay would reject requests in calm times."""
+
+
 class SpanSection(Section):
     """Spans of requests, as log lines."""
 
@@ -131,6 +140,7 @@
     rate_limit: str = "token-bucket"
     quarantine: str = "two-crashes"
     stop_admission: str = "deadline"
+    configuration_lease: str = "store-age"
 
 
 class MeshSettings(Section):
@@ -144,6 +154,8 @@
     bodies: BodySection = BodySection()
     spans: SpanSection = SpanSection()
     plugins: PluginSection = PluginSection()
+    revocation: RevocationSection | None = None
+    """None if keys need not be revoked in bounded time."""
 
 
 def load_mesh_settings(path: Path) -> MeshSettings:
--- a/packages/node/src/cassiahatch_node/mesh/store_sync.py
+++ b/packages/node/src/cassiahatch_node/mesh/store_sync.py
@@ -22,9 +22,9 @@
     StaleReadError,
     StoreUnavailableError,
 )
+from cassiahatch_node.mesh.confirmations import ConfigurationAge, Confirmations
 from cassiahatch_node.mesh.directory import Directory
 from cassiahatch_node.mesh.frames import Hello, ReaderFrame, UpdateFrame
-from cassiahatch_node.mesh.freshness import CopyFreshness, StoreClock
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.member_records import (
     BadMemberError,
@@ -32,6 +32,7 @@
     encode_member,
 )
 from cassiahatch_node.mesh.settings import StoreSection
+from cassiahatch_node.mesh.store_answers import StoreAnswers
 
 MEMBER_TABLE = "members"
 FROM_STORE = "store"
@@ -43,12 +44,9 @@
 FLEET_POLLS_PER_S = 500
 """Polls a second, of each table, to which the backoff holds a fleet whose nodes all poll:
 together half of the reads that the store allows."""
-
-CONFIG_MAX_AGE_S = 1.2
-"""Age of a confirmed configuration from which a node asks the store itself. With the
-answer, well below the 2 s in which a change must be in force."""
-MEMBERS_MAX_AGE_S = 5.0
-"""The same for members: a long poll and the pause after it, with a margin."""
+STRICT_MAX_BACKOFF_S = 0.6
+"""The same for a node that must regain its configuration lease within 1 s of the store's
+return; pauses are random, up to one and a half times as long."""
 
 
 class StoreSync:
@@ -91,9 +89,7 @@
         self._journal = journal
         self._on_configuration = on_configuration
         self._config_value = b""
-        self._failing_tables: set[str] = set()
-        self._answered_at: dict[str, float] = {}
-        """Monotonic seconds of the store's last answer about each table."""
+        self.answers = StoreAnswers(clock, journal)
         self._reading_enabled = asyncio.Event()
         self._reading_enabled.set()
         self._newest_revision = 0
@@ -108,9 +104,7 @@
         record received from a peer, this is the version that the update reached."""
         self.member_row_versions: dict[str, int] = {}
         """Store versions of the member rows, by node id."""
-        store_clock = StoreClock(clock)
-        self._config_freshness = CopyFreshness(store_clock, CONFIG_MAX_AGE_S)
-        self._members_freshness = CopyFreshness(store_clock, MEMBERS_MAX_AGE_S)
+        self._confirmations = Confirmations(clock)
         self.on_confirmed: Callable[[], None] = _ignore
         """Called after the store has confirmed that a copy is current."""
         self.on_members_applied: Callable[[], None] = _ignore
@@ -146,19 +140,15 @@
 
     def is_reader_fresh(self, reader: ReaderFrame) -> bool:
         """Return whether the copies of a reader count as fresh by now."""
-        return self._config_freshness.is_fresh(
-            reader.config_confirmed_at
-        ) and self._members_freshness.is_fresh(reader.members_confirmed_at)
+        return self._confirmations.is_fresh(reader)
 
-    @property
-    def is_store_available(self) -> bool:
-        """Whether the last request to the store succeeded, for both tables."""
-        return not self._failing_tables
+    def require_bounds(self, is_required: bool) -> None:
+        """Keep the uncertainty of the store's clock small, for a configuration lease."""
+        self._confirmations.needs_bounds = is_required
 
-    def measure_answer_ages(self) -> dict[str, float]:
-        """Return the seconds since the store's last answer about each table."""
-        now = self._clock.monotonic()
-        return {table: round(now - at, 3) for table, at in self._answered_at.items()}
+    def measure_configuration_age(self) -> ConfigurationAge:
+        """Return how long ago the configuration in force was the newest."""
+        return self._confirmations.measure_configuration_age()
 
     def set_reader(self, is_reader: bool) -> None:
         """Follow the store if the node is a reader; otherwise rely on its peers."""
@@ -169,35 +159,29 @@
 
     def make_hello(self, link_version: int, node_id: str) -> Hello:
         """Return this node's ``Hello``, with the versions that it has."""
-        versions = self.make_reader_frame()
-        return Hello(
-            link_version,
-            node_id,
-            versions.config_version,
-            versions.members_version,
-            versions.config_confirmed_at,
-            versions.members_confirmed_at,
+        return self._confirmations.make_hello(
+            link_version, node_id, self.make_reader_frame()
         )
 
     def make_reader_frame(self) -> ReaderFrame:
         """Return the heartbeat of a reader, with the versions that it has."""
-        return ReaderFrame(
-            self.config_version,
-            self.members_version,
-            self._config_freshness.find_confirmed_at(self.config_version),
-            self._members_freshness.find_confirmed_at(self.members_version),
+        return self._confirmations.make_reader_frame(
+            self.config_version, self.members_version
         )
 
     def confirm(self, peer: ReaderFrame | Hello) -> None:
         """Take account of when a peer's versions were the newest."""
-        self._config_freshness.confirm(peer.config_version, peer.config_confirmed_at)
-        self._members_freshness.confirm(peer.members_version, peer.members_confirmed_at)
+        self._confirmations.confirm_by_peer(peer, self.config_version)
 
     def is_behind(self, reader: ReaderFrame) -> bool:
-        """Return whether a reader has newer versions than this node."""
+        """Return whether a reader can tell this node something.
+
+        That is newer versions, or the store's clock with much less uncertainty.
+        """
         return (
             reader.config_version > self.config_version
             or reader.members_version > self.members_version
+            or self._confirmations.can_reduce(reader.uncertainty_s)
         )
 
     def make_update(self, hello: Hello) -> UpdateFrame | None:
@@ -268,6 +252,7 @@
         self.config_version = configuration.version
         self._config_value = value
         self._on_configuration(configuration)
+        self._confirmations.apply_configuration(self.config_version)
         self._journal.note(
             "configuration_in_force",
             version=configuration.version,
@@ -298,7 +283,8 @@
     ) -> None:
         """Read a table and follow its changes, until cancelled.
 
-        While a copy is stale, every other poll is answered at once, not held.
+        While a copy is stale, every other poll is answered at once, not held. One that is
+        answered at once also gives a close bound on the store's clock.
         """
         backoff_s = FIRST_BACKOFF_S
         since: int | None = None
@@ -306,15 +292,17 @@
         while True:
             if since is not None:
                 await self._reading_enabled.wait()
-            is_held = self.is_fresh or not was_held
+            is_held = self._may_be_held or not was_held
+            sent_at = self._clock.monotonic()
             try:
                 scan = await self._poll(table, since, wait_s if is_held else 0.0)
             except HistoryGoneError:
                 self._journal.note("store_history_gone", table=table)
                 since = None
             except StoreUnavailableError as error:
-                self._note_failure(table, error)
+                self.answers.record_failure(table, error)
             else:
+                self._observe_clock(scan, sent_at)
                 apply(scan, since is None)
                 self._note_success(table, scan)
                 if since is not None:
@@ -327,6 +315,14 @@
             backoff_s = min(self._compute_max_backoff_s(), backoff_s * 2)
             was_held = True
 
+    @property
+    def _may_be_held(self) -> bool:
+        return self.is_fresh and not self._confirmations.lacks_bound
+
+    def _observe_clock(self, scan: Scan, sent_at: float) -> None:
+        if not self._confirmations.observe_store(scan.read_at, sent_at):
+            self._journal.note("store_clock_set", store_time=scan.read_at)
+
     async def _poll(self, table: str, since: int | None, wait_s: float) -> Scan:
         """Read a table, or its changes after ``since``.
 
@@ -355,13 +351,17 @@
         await asyncio.sleep(mean_s * (0.5 + self._random.random()))
 
     def _compute_max_backoff_s(self) -> float:
-        return max(MAX_BACKOFF_S, len(self._directory.members) / FLEET_POLLS_PER_S)
+        is_strict = self._confirmations.needs_bounds
+        backoff_s = STRICT_MAX_BACKOFF_S if is_strict else MAX_BACKOFF_S
+        return max(backoff_s, len(self._directory.members) / FLEET_POLLS_PER_S)
 
     def _apply_configuration_scan(self, scan: Scan, is_full_scan: bool) -> None:
         for row in scan.rows:
             if row.key == self._source.key:
                 self.apply_configuration(row.value, FROM_STORE)
-        self._config_freshness.confirm(self.config_version, scan.read_at)
+        self._confirmations.confirm_configuration(
+            self.config_version, scan.read_at, self.config_version
+        )
 
     def _apply_member_scan(self, scan: Scan, is_full_scan: bool) -> None:
         valid_rows = [row for row in scan.rows if self._apply_member_row(row)]
@@ -376,7 +376,7 @@
         since = self.members_version
         self.members_version = max(since, scan.revision)
         self.has_members = True
-        self._members_freshness.confirm(scan.revision, scan.read_at)
+        self._confirmations.confirm_members(scan.revision, scan.read_at)
         self.on_members_applied()
         if valid_rows and not is_full_scan:
             records = tuple(row.value for row in valid_rows)
@@ -417,17 +417,9 @@
             )
         return member
 
-    def _note_failure(self, table: str, error: StoreUnavailableError) -> None:
-        if table not in self._failing_tables:
-            self._failing_tables.add(table)
-            self._journal.note("store_lost", table=table, error=error.detail)
-
     def _note_success(self, table: str, scan: Scan) -> None:
-        self._answered_at[table] = self._clock.monotonic()
         self._newest_revision = max(self._newest_revision, scan.revision)
-        if table in self._failing_tables:
-            self._failing_tables.discard(table)
-            self._journal.note("store_regained", table=table)
+        self.answers.record_success(table)
         self.on_confirmed()
 
 
--- a/packages/node/src/cassiahatch_node/observability/metrics.py
+++ b/packages/node/src/cassiahatch_node/observability/metrics.py
@@ -1,4 +1,4 @@
-"""Counters and latency histograms of a process."""
+"""Counters, gauges and latency histograms of a process."""
 
 from __future__ import annotations
 
@@ -20,13 +20,15 @@
 
 
 class Metrics:
-    """Counters and latency histograms, by name."""
+    """Counters, gauges and latency histograms, by name."""
 
-    __slots__ = ("_samples", "counters", "histograms")
+    __slots__ = ("_samples", "counters", "gauges", "histograms")
 
     def __init__(self) -> None:
         self._samples = 0
         self.counters: Counter[str] = Counter()
+        self.gauges: dict[str, float] = {}
+        """Current values; their names end with the unit."""
         self.histograms: dict[str, HdrHistogram] = {}
 
     def count(self, name: str, amount: int = 1) -> None:
@@ -54,6 +56,8 @@
             family, _, code = name.partition(":")
             label = f'{{code="{code}"}}' if code else ""
             lines.append(f"cassiahatch_{family}_total{label} {value}")
+        for name, value in sorted(self.gauges.items()):
+            lines.append(f"cassiahatch_{name} {value:g}")
         for name, histogram in sorted(self.histograms.items()):
             metric = f"cassiahatch_{name}_seconds"
             for quantile in QUANTILES:
--- a/tests/test_mesh_freshness.py
+++ b/tests/test_mesh_freshness.py
@@ -14,6 +14,7 @@
 
 from cassiahatch_kernel.members import Member
 from cassiahatch_kernel.ports import HistoryGoneError, Row, Scan
+from cassiahatch_node.mesh.confirmations import CONFIG_MAX_AGE_S
 from cassiahatch_node.mesh.member_records import encode_member
 from cassiahatch_node.mesh.readers import (
     CHECK_INTERVAL_S,
@@ -21,7 +22,6 @@
     READERS_PER_ZONE,
     ReaderElection,
 )
-from cassiahatch_node.mesh.store_sync import CONFIG_MAX_AGE_S
 from cassiahatch_platform.store import PAGE_ROWS, PlatformStore
 from fleet_model import STORE_DELAY_S, Access, Fleet
 from fuzzing import run_machine
--- a/tests/test_mesh_readers.py
+++ b/tests/test_mesh_readers.py
@@ -15,13 +15,14 @@
 from cassiahatch_kernel.clock import SystemClock
 from cassiahatch_kernel.members import Member, MemberState
 from cassiahatch_kernel.ports import Row, Scan
+from cassiahatch_node.mesh.confirmations import CONFIG_MAX_AGE_S
 from cassiahatch_node.mesh.directory import Directory
 from cassiahatch_node.mesh.frames import Hello, UpdateFrame
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.member_records import encode_member
 from cassiahatch_node.mesh.readers import READERS_PER_ZONE, STARTUP_S
 from cassiahatch_node.mesh.settings import StoreSection
-from cassiahatch_node.mesh.store_sync import CONFIG_MAX_AGE_S, StoreSync
+from cassiahatch_node.mesh.store_sync import StoreSync
 from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_platform.store import TCP_USER_TIMEOUT_MS, enable_keepalive
 from mesh_site import Site
