Prove the configuration lease in virtual time and in a process

Cause: the lease had only its table of decisions. The model of a fleet gains clocks for each machine and delays.

--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -52,6 +52,8 @@
         self.version = 0
         self.history: list[tuple[int, str, Row]] = []
         self.access: dict[str, Access] = defaultdict(lambda: Access.SERVED)
+        self.answer_delay_s = 0.0
+        """Time that each answer takes to reach its machine."""
         self.request_count = 0
         self.configured_at: dict[int, float] = {}
         """Virtual time of the acknowledgement of each configuration version."""
@@ -114,7 +116,9 @@
                 await self._check_access()
                 await self._store.wait_for_change(table, since, wait_s)
                 await self._check_access()
-                return self._store.read(table, since)
+                scan = self._store.read(table, since)
+                await asyncio.sleep(self._store.answer_delay_s)
+                return scan
         except TimeoutError:
             raise StoreUnavailableError("timed out") from None
 
@@ -126,6 +130,22 @@
                 await asyncio.Event().wait()
 
 
+class NodeClock:
+    """Clock of one machine, whose zero, rate and wall time differ from the loop's."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self._loop = loop
+        self.ahead_s = 0.0
+        self.rate = 1.0
+        self.wall_ahead_s = 0.0
+
+    def monotonic(self) -> float:
+        return self._loop.time() * self.rate + self.ahead_s
+
+    def wall(self) -> float:
+        return self._loop.time() + self.wall_ahead_s
+
+
 class IdleIngress:
     """A backend server without load."""
 
@@ -143,23 +163,31 @@
         self.started_at = loop.time()
         journal = Journal(node_id, Metrics(), fleet.journal_fd)
         random_source = random.Random(f"{fleet.seed} {node_id}")
-        self.directory = Directory(node_id, zone, loop, self._create_link, journal)
+        self.clock = clock = fleet.clocks[node_id]
+        self.directory = Directory(node_id, zone, clock, self._create_link, journal)
         self.store_sync = StoreSync(
             StoreClient(fleet.store, node_id),
             PlatformConfigurations(),
             self.directory,
             StoreSection(address="127.0.0.1:9"),
-            loop,
+            clock,
             random_source,
             journal,
             lambda configuration: None,
         )
         self.readers = ReaderElection(
-            node_id, zone, self.store_sync, self.directory, loop, random_source, journal
+            node_id,
+            zone,
+            self.store_sync,
+            self.directory,
+            clock,
+            random_source,
+            journal,
         )
         self.store_sync.on_confirmed = self.readers.on_confirmed
+        self.store_sync.require_bounds(fleet.is_strict)
         self.links = LinkService(
-            loop,
+            clock,
             IdleIngress(),
             journal,
             self._make_hello,
@@ -214,7 +242,7 @@
             member.node_id,
             member.host,
             1,
-            self._loop,
+            self.clock,
             callbacks,
             AnswerMemory(1_000_000),
             self._journal,
@@ -228,6 +256,10 @@
         self.loop = loop
         self.seed = seed
         self.store = ModelStore(loop)
+        self.is_strict = False
+        """Whether the nodes have a configuration lease."""
+        self.clocks: defaultdict[str, NodeClock] = defaultdict(lambda: NodeClock(loop))
+        """The clocks of the machines, by node id."""
         self.journal_fd = os.open(os.environ.get("MESH_LOG", os.devnull), os.O_WRONLY)
         self.nodes: dict[str, Node] = {}
         """The live nodes, by id."""
--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -23,6 +23,7 @@
     MeshSettings,
     NodeSection,
     RetrySection,
+    RevocationSection,
     SpanSection,
     StoreSection,
 )
@@ -615,6 +616,7 @@
         self.retries = RetrySection()
         self.answers = AnswerSection()
         self.bodies = BodySection()
+        self.revocation: RevocationSection | None = None
         """Like ``span_share`` and ``retries``, a setting of VMs added later."""
 
     async def __aenter__(self) -> Site:
@@ -652,6 +654,7 @@
             retries=self.retries,
             answers=self.answers,
             bodies=self.bodies,
+            revocation=self.revocation,
         )
         host = Host(backend, settings)
         backend.node_address = host.client_address
--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -27,14 +27,20 @@
 class MemoryTransport:
     """One end of a connection; ``connect`` creates both."""
 
-    def __init__(self, loop: VirtualLoop, protocol: asyncio.Protocol) -> None:
+    def __init__(
+        self, loop: VirtualLoop, protocol: asyncio.Protocol, host: str
+    ) -> None:
         self._loop = loop
+        self._host = host
+        self._arrives_at = 0.0
         self._protocol = protocol
         self._is_closed = False
         self.other_end: MemoryTransport | None = None
 
     def write(self, data: bytes) -> None:
-        self._loop.call_later(LINK_DELAY_S, self.other_end.deliver, data)
+        delay_s = LINK_DELAY_S + self._loop.added_delays_s.get(self._host, 0.0)
+        self._arrives_at = max(self._loop.time() + delay_s, self._arrives_at)
+        self._loop.call_at(self._arrives_at, self.other_end.deliver, data)
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         return default
@@ -61,6 +67,8 @@
         super().__init__(self._jumping_selector)
         self.listeners: dict[str, Callable[[], asyncio.Protocol]] = {}
         """Creates the serving end of a connection, by host."""
+        self.added_delays_s: dict[str, float] = {}
+        """Time that messages take longer on the connections that a host serves."""
 
     def time(self) -> float:
         return self._jumping_selector.now
@@ -76,7 +84,7 @@
         if listener is None:
             raise ConnectionRefusedError(host)
         calling, serving = factory(), listener()
-        ends = MemoryTransport(self, calling), MemoryTransport(self, serving)
+        ends = [MemoryTransport(self, end, host) for end in (calling, serving)]
         ends[0].other_end, ends[1].other_end = ends[1], ends[0]
         serving.connection_made(ends[1])
         calling.connection_made(ends[0])
