Enforce tenants' quotas with units granted over links

Cause: a tenant's rate_per_s and burst were read from the configuration and not enforced, so that one tenant could send any number of requests. Change: eight keeper positions, each held by a node for a tenure of 6.5 s whose row in the table quota_keepers is written conditionally and renewed every 4 s. A keeper grants units out of a token bucket for each tenant; a node spends one for each request of a client, within 0.5 s of when it asked. Units that are not spent, or whose request was rejected without having run, go back. Without units a request waits at most 0.6 s, then gets 429 if the keeper has said that the quota is used up, else 503. It takes effect only with the section [quotas]. Link version 5.

--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -27,6 +27,7 @@
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.request_state import RequestState, combine_results
 from cassiahatch_node.mesh.spans import Hop, Spans, format_result
+from cassiahatch_node.mesh.tenant_quotas import TenantQuotas
 from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_policies.identification import (
     Identity,
@@ -36,6 +37,7 @@
 from cassiahatch_policies.placement import Endpoint, is_outlier
 from cassiahatch_policies.positions import compute_position
 from cassiahatch_policies.retry_budget import allows_retry
+from cassiahatch_policies.tenant_quota import Grant
 
 MS_PER_S = 1000
 EDGE_RETRY_AFTER_S = (0.4, 1.6)
@@ -114,6 +116,8 @@
         """The current routes; None until the node has received a configuration."""
         self.tenants = TenantTable()
         """Tenants of the configuration in force."""
+        self.quotas: TenantQuotas | None = None
+        """Enforces the quotas of tenants; None if they are not enforced."""
         self.is_ending = False
         """Whether the process ends, so that nothing is sent any more."""
 
@@ -140,14 +144,42 @@
     async def serve(
         self, request: Request, rule: RouteRule, identity: Identity
     ) -> Result:
-        """Send an admitted request from a local client and return its result."""
+        """Send an admitted request from a local client and return its result.
+
+        The quota is checked last, so that it pays for no request that is rejected before.
+        """
+        paid = await self._pay(request, identity)
+        if isinstance(paid, Rejection):
+            return paid
         state = self._create_state(request, rule, identity)
         result = await self._send_with_retries(state)
+        if isinstance(paid, Grant) and isinstance(result, Rejection):
+            self.quotas.give_back(identity.tenant, paid)
         if self._spans.is_sampled(state.position):
             spent_s = self._clock.monotonic() - request.arrived
             self._spans.write(Hop.REQUEST, request.id, spent_s, result, route=rule.name)
         return result
 
+    async def _pay(
+        self, request: Request, identity: Identity
+    ) -> Grant | Rejection | bool:
+        """Pay for a request out of its tenant's quota, or return its rejection."""
+        if self.quotas is None or not identity.has_key:
+            return True
+        paid = self.quotas.try_admit(identity.tenant)
+        if paid is not False:
+            return paid
+        outcome = await self.quotas.wait_for_unit(identity.tenant)
+        if isinstance(outcome, Rejection):
+            self._journal.trace(
+                "refused_by_quota",
+                request=request.id,
+                reason=outcome.reason,
+                tenant=identity.tenant,
+                retry_after_s=round(outcome.retry_after_s, 3),
+            )
+        return outcome
+
     def find_overload(
         self, request: Request, rule: RouteRule, identity: Identity
     ) -> Rejection | None:
--- a/packages/node/src/cassiahatch_node/mesh/frames.py
+++ b/packages/node/src/cassiahatch_node/mesh/frames.py
@@ -19,7 +19,7 @@
 FRAME_TIMEOUT_S = 10.0
 """Time allowed from the first byte of a frame to its last. The longest frame takes 1.4 s
 on the slowest link, 100 Mbit/s, and shares it with others."""
-LINK_VERSION = 4
+LINK_VERSION = 5
 """Version of the messages. A link to a peer with another version is closed."""
 
 
@@ -145,6 +145,56 @@
     number: int
 
 
+class QuotaAsk(msgspec.Struct, array_like=True, frozen=True):
+    """Units that a node requests for a tenant."""
+
+    tenant: str
+    units: Annotated[int, Meta(ge=1)]
+
+
+class QuotaReturn(msgspec.Struct, array_like=True, frozen=True):
+    """Units of a grant that a node has not spent and will not spend."""
+
+    tenant: str
+    tenure: int
+    serial: int
+    units: Annotated[int, Meta(ge=1)]
+
+
+class QuotaRequestFrame(msgspec.Struct, array_like=True, tag=12, frozen=True):
+    """Requests units from the keeper of a position, and returns others to it."""
+
+    number: int
+    """Number of the request, which the answer repeats."""
+    position: int
+    asks: tuple[QuotaAsk, ...] = ()
+    returns: tuple[QuotaReturn, ...] = ()
+
+
+class QuotaGrant(msgspec.Struct, array_like=True, frozen=True):
+    """Units that a keeper grants for a tenant."""
+
+    tenant: str
+    units: Annotated[int, Meta(ge=0)]
+    serial: int = 0
+    """Number of the grant, which a return names."""
+    wait_ms: int = 0
+    """Time until the units that are missing flow in, if the quota is known to be used
+    up; else 0."""
+
+
+class QuotaGrantFrame(msgspec.Struct, array_like=True, tag=13, frozen=True):
+    """Answer to a ``QuotaRequestFrame``."""
+
+    number: int
+    position: int
+    tenure: int = 0
+    """Number of the keeper's tenure; 0 if the sender does not hold the position."""
+    grants: tuple[QuotaGrant, ...] = ()
+    holder: str = ""
+    """Node that holds the position, if the sender does not and knows it."""
+
+
 Frame = (
     Hello
     | CallFrame
@@ -158,6 +208,8 @@
     | ClearFrame
     | BodyFrame
     | TakeFrame
+    | QuotaRequestFrame
+    | QuotaGrantFrame
 )
 """Any message on a link."""
 
--- a/packages/node/src/cassiahatch_node/mesh/front_end.py
+++ b/packages/node/src/cassiahatch_node/mesh/front_end.py
@@ -278,6 +278,8 @@
             return 408
         case Rejection(reason=Reason.BODY_TOO_LARGE):
             return 413
+        case Rejection(reason=Reason.QUOTA_EXCEEDED):
+            return 429
         case Rejection(reason=Reason.HEADERS_TOO_LARGE):
             return 431
         case Rejection():
--- a/packages/node/src/cassiahatch_node/mesh/link_in.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_in.py
@@ -34,6 +34,8 @@
     Hello,
     LoadFrame,
     ProbeFrame,
+    QuotaGrantFrame,
+    QuotaRequestFrame,
     ReaderFrame,
     ResultFrame,
     TakeFrame,
@@ -80,6 +82,8 @@
     """Provides the cutoff and the retry budget use at this service and downstream."""
     body_memory: BodyMemory
     answer_memory: AnswerMemory
+    on_quota_request: Callable[[QuotaRequestFrame], QuotaGrantFrame] | None = None
+    """Answers a peer's request of quota units; None if quotas are not enforced."""
     connections: set[PeerConnection] = field(default_factory=set)
     ticked_at: float = float("inf")
     """Monotonic seconds of the last tick of the event loop."""
@@ -328,6 +332,8 @@
                 self._service.on_update(frame)
             case ReaderFrame():
                 self._service.on_reader(self._peer, frame)
+            case QuotaRequestFrame() if self._service.on_quota_request:
+                self.write(encode_frame(self._service.on_quota_request(frame)))
             case _:
                 raise BadFrameError(
                     f"{frame.__class__.__name__} not expected at the serving end of a link"
--- a/packages/node/src/cassiahatch_node/mesh/link_out.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_out.py
@@ -36,6 +36,8 @@
     Hello,
     LoadFrame,
     ProbeFrame,
+    QuotaGrantFrame,
+    QuotaRequestFrame,
     ReaderFrame,
     ResultFrame,
     TakeFrame,
@@ -78,6 +80,8 @@
     on_crash: Callable[[CrashFrame | ClearFrame], None]
     on_readiness_change: Callable[[str], None]
     """Called with the peer's id when the link becomes ready, and when it is lost."""
+    on_quota_grant: Callable[[str, QuotaGrantFrame], None] | None = None
+    """Called with the id of the peer and its answer; None if quotas are not enforced."""
 
 
 class PeerLink(asyncio.Protocol):
@@ -308,6 +312,8 @@
                 self._callbacks.on_update(frame)
             case CrashFrame() | ClearFrame():
                 self._callbacks.on_crash(frame)
+            case QuotaGrantFrame() if self._callbacks.on_quota_grant:
+                self._callbacks.on_quota_grant(self.node_id, frame)
             case _:
                 raise BadFrameError(
                     f"{frame.__class__.__name__} not expected at the calling end of a link"
@@ -358,8 +364,10 @@
         if update is not None:
             self._send(update)
 
-    def send_if_ready(self, frame: UpdateFrame | ReaderFrame) -> None:
-        """Send an update or a reader's heartbeat if the link is ready."""
+    def send_if_ready(
+        self, frame: UpdateFrame | ReaderFrame | QuotaRequestFrame
+    ) -> None:
+        """Send a message that needs no result if the link is ready."""
         if self.is_ready:
             self._send(frame)
 
--- /dev/null
+++ b/packages/node/src/cassiahatch_node/mesh/quota_setup.py
@@ -0,0 +1,65 @@
+"""Wiring of the quotas of tenants."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from cassiahatch_kernel.clock import Clock
+from cassiahatch_kernel.ports import FeedStore
+from cassiahatch_kernel.tenants import Tenant
+from cassiahatch_node.mesh.directory import Directory
+from cassiahatch_node.mesh.journal import Journal
+from cassiahatch_node.mesh.quota_candidates import QuotaCandidates
+from cassiahatch_node.mesh.quota_keepers import QuotaKeepers
+from cassiahatch_node.mesh.settings import MeshSettings
+from cassiahatch_node.mesh.tenant_quotas import TenantQuotas
+from cassiahatch_node.observability.metrics import Metrics
+from cassiahatch_policies.quota_tenure import Candidate
+from cassiahatch_policies.tenant_quota import QuotaBound
+
+PROCESS_BITS = 53
+"""Size of the random number of a process: the largest that JSON readers keep exactly."""
+
+
+def make_tenant_quotas(
+    settings: MeshSettings,
+    store: FeedStore,
+    directory: Directory,
+    find_tenant: Callable[[str], Tenant | None],
+    clock: Clock,
+    random_source: random.Random,
+    metrics: Metrics,
+    journal: Journal,
+) -> TenantQuotas | None:
+    """Return the node's part in the quotas, or None if they are not enforced."""
+    section, node, plugins = settings.quotas, settings.node, settings.plugins
+    if section is None:
+        return None
+    bound = QuotaBound(section.window_s, section.overrun, section.slack)
+    process = random.SystemRandom().getrandbits(PROCESS_BITS)
+    own = Candidate(node.id, process, node.is_first_start)
+    candidates = QuotaCandidates(node.id, directory, clock)
+    keepers = QuotaKeepers(
+        own,
+        store,
+        candidates,
+        find_tenant,
+        bound,
+        plugins.tenant_bucket,
+        clock,
+        random_source,
+        metrics,
+        journal,
+    )
+    return TenantQuotas(
+        node.id,
+        keepers,
+        candidates,
+        directory,
+        find_tenant,
+        plugins.tenant_allowance,
+        clock,
+        random_source,
+        metrics,
+    )
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -34,6 +34,7 @@
 from cassiahatch_node.mesh.link_out import LinkCallbacks, PeerLink
 from cassiahatch_node.mesh.own_backend import OwnBackend
 from cassiahatch_node.mesh.process_signals import ProcessSignals
+from cassiahatch_node.mesh.quota_setup import make_tenant_quotas
 from cassiahatch_node.mesh.readers import ReaderElection
 from cassiahatch_node.mesh.registration import Registration
 from cassiahatch_node.mesh.response_limits import ResponseLimits
@@ -210,6 +211,16 @@
             self.metrics,
             self.journal,
         )
+        self.egress.quotas = self.quotas = make_tenant_quotas(
+            settings,
+            self._store,
+            self.directory,
+            lambda name: self.egress.tenants.get(name),
+            clock,
+            self._random,
+            self.metrics,
+            self.journal,
+        )
         self._front_end = FrontEnd(
             dialect,
             self.egress,
@@ -253,6 +264,8 @@
             self.body_memory,
             self.response_limits.memory,
         )
+        if self.quotas is not None:
+            self._links.on_quota_request = self.quotas.keepers.answer
         self.registration.on_change = self._links.broadcast_member
         crashes.broadcast = self._links.broadcast_crash
         self.ingress.on_missing = self._broadcast_load
@@ -316,6 +329,9 @@
             self._tick,
         ):
             self._start_task(run)
+        if self.quotas is not None:
+            self._start_task(self.quotas.run)
+            self._start_task(self.quotas.keepers.run)
         gc.collect()
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
@@ -360,6 +376,9 @@
             Monotonic seconds from which the grace period counts, by default now.
         """
         self._stopping.set()
+        if self.quotas is not None:
+            release = asyncio.create_task(self.quotas.keepers.release())
+            self._stack.callback(release.cancel)
         if started_at is None:
             started_at = self._clock.monotonic()
         grace_s = self._settings.stopping.grace_s
@@ -430,6 +449,7 @@
             self.store_sync.confirm,
             self.crashes.apply_frame,
             self.directory.refresh_reachability,
+            None if self.quotas is None else self.quotas.on_grant,
         )
         return PeerLink(
             member.node_id,
--- a/packages/node/src/cassiahatch_node/mesh/settings.py
+++ b/packages/node/src/cassiahatch_node/mesh/settings.py
@@ -117,6 +117,21 @@
     """Share of the root requests that are sampled; the same on every node."""
 
 
+class QuotaSection(Section):
+    """Bound on the requests of a tenant that has a quota.
+
+    In any window at most ``(rate x window_s + burst) x (1 + overrun) + slack`` of them
+    run, over all nodes.
+    """
+
+    window_s: Annotated[float, Meta(gt=0)] = 5.0
+    """Length of the window in which the requests of a tenant are counted."""
+    overrun: Annotated[float, Meta(ge=0)] = 0.1
+    """Share by which the requests in a window may exceed the tenant's quota."""
+    slack: Annotated[float, Meta(ge=0)] = 20.0
+    """Requests that may be added to that."""
+
+
 class PluginSection(Section):
     """Name of the plug-in to use for each kind."""
 
@@ -131,6 +146,8 @@
     rate_limit: str = "token-bucket"
     quarantine: str = "two-crashes"
     stop_admission: str = "deadline"
+    tenant_bucket: str = "window"
+    tenant_allowance: str = "ahead"
 
 
 class MeshSettings(Section):
@@ -143,6 +160,8 @@
     answers: AnswerSection = AnswerSection()
     bodies: BodySection = BodySection()
     spans: SpanSection = SpanSection()
+    quotas: QuotaSection | None = None
+    """None if the quotas of tenants are not enforced."""
     plugins: PluginSection = PluginSection()
 
 
--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -22,6 +22,7 @@
     BodySection,
     MeshSettings,
     NodeSection,
+    QuotaSection,
     RetrySection,
     SpanSection,
     StoreSection,
@@ -615,6 +616,7 @@
         self.retries = RetrySection()
         self.answers = AnswerSection()
         self.bodies = BodySection()
+        self.quotas: QuotaSection | None = None
         """Like ``span_share`` and ``retries``, a setting of VMs added later."""
 
     async def __aenter__(self) -> Site:
@@ -652,6 +654,7 @@
             retries=self.retries,
             answers=self.answers,
             bodies=self.bodies,
+            quotas=self.quotas,
         )
         host = Host(backend, settings)
         backend.node_address = host.client_address
