--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -22,6 +22,7 @@
     BodySection,
     MeshSettings,
     NodeSection,
+    QuotaSection,
     RetrySection,
     RevocationSection,
     SpanSection,
@@ -617,6 +618,7 @@
         self.answers = AnswerSection()
         self.bodies = BodySection()
         self.revocation: RevocationSection | None = None
+        self.quotas: QuotaSection | None = None
         """Like ``span_share`` and ``retries``, a setting of VMs added later."""
 
     async def __aenter__(self) -> Site:
@@ -655,6 +657,7 @@
             answers=self.answers,
             bodies=self.bodies,
             revocation=self.revocation,
+            quotas=self.quotas,
         )
         host = Host(backend, settings)
         backend.node_address = host.client_address
