Follow a store that comes back from an older copy

Cause: versions were compared as if they only rose. After a fall-back, feeds would have skipped changes, writes could have matched numbers given out again, rows that nodes had written stayed lost, and the members whose rows are missing would have been removed.

--- a/packages/node/src/cassiahatch_node/mesh/quota_keepers.py
+++ b/packages/node/src/cassiahatch_node/mesh/quota_keepers.py
@@ -21,6 +21,7 @@
     StoreUnavailableError,
 )
 from cassiahatch_kernel.registry import PLUGINS
+from cassiahatch_kernel.store_versions import get_era
 from cassiahatch_kernel.tenants import Tenant
 from cassiahatch_node.mesh.frames import (
     QuotaAsk,
@@ -130,6 +131,10 @@
         their tenures can have."""
         self._store_time: StoreTime | None = None
         self._wanted = asyncio.Event()
+        self._store_era: int | None = None
+        """Highest era in which the table was read; None before."""
+        self._claims_from = float("-inf")
+        """Monotonic seconds before which no position is claimed."""
 
     def find_holding(self, position: int) -> Holding | None:
         """Return the position's holding if its tenure is current, else None."""
@@ -247,14 +252,32 @@
                 holding.ends_at = claim.ends_at
                 holding.renew_at = now + RENEWAL_INTERVAL_S
             case Conflict(version=version, value=value):
-                row = self._decode(position, Row("", value, version))
-                if row.process == self._own.process:
+                row = self._decode_conflict(position, value, version)
+                is_own = row is not None and row.process == self._own.process
+                if is_own or await self._is_restored(row, holding):
                     holding.version = version
                 else:
-                    self._lose(position, row.holder)
+                    self._lose(position, row)
 
-    def _lose(self, position: int, holder: str) -> None:
+    def _decode_conflict(
+        self, position: int, value: bytes, version: int
+    ) -> TenureRow | None:
+        if version == ABSENT:
+            return None
+        return self._decode(position, Row("", value, version))
+
+    async def _is_restored(self, row: TenureRow | None, holding: Holding) -> bool:
+        """Return whether the store has come back from before a tenure began.
+
+        No other node claims the position before this tenure has ended.
+        """
+        await self._read_rows()
+        is_later = (self._store_era or 0) > get_era(holding.version)
+        return is_later and (row is None or row.number < holding.row.number)
+
+    def _lose(self, position: int, row: TenureRow | None) -> None:
         self._holdings.pop(position, None)
+        holder = "" if row is None else row.holder
         self._journal.note("quota_tenure_lost", position=position, holder=holder)
 
     async def _claim_missing(self) -> None:
@@ -267,6 +290,8 @@
         if not positions:
             return
         rows = await self._read_rows()
+        if now < self._claims_from:
+            return
         async with asyncio.TaskGroup() as claims:
             for position in positions:
                 self._foreign[position].until = now + RETRY_INTERVAL_S
@@ -342,8 +367,23 @@
             return None
         received_at = self._clock.monotonic()
         self._store_time = StoreTime(scan.read_at, sent_at, received_at)
+        self._follow_era(get_era(scan.revision), received_at)
         return {row.key: row for row in scan.rows}
 
+    def _follow_era(self, era: int, now: float) -> None:
+        """Claim nothing in a new era until each tenure of before it has ended.
+
+        The store may have lost their rows. That also ends the first start of the system,
+        in which a position without a row has had no holder.
+        """
+        if self._store_era is None:
+            self._store_era = era
+        elif era > self._store_era:
+            self._store_era = era
+            self._claims_from = now + TENURE_S
+            self._own = msgspec.structs.replace(self._own, is_first_start=False)
+            self._journal.note("quota_claims_delayed", era=era, delay_s=TENURE_S)
+
     def _decode(self, position: int, stored: Row) -> TenureRow:
         """Return the row; one that can't be decoded ends after the longest tenure."""
         try:
--- a/packages/node/src/cassiahatch_node/mesh/registration.py
+++ b/packages/node/src/cassiahatch_node/mesh/registration.py
@@ -15,6 +15,7 @@
     FeedStore,
     StoreUnavailableError,
 )
+from cassiahatch_kernel.store_versions import get_era
 from cassiahatch_node.mesh.directory import Directory
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.member_records import encode_member
@@ -58,6 +59,8 @@
         self._journal = journal
         self._changed = asyncio.Event()
         self._written = asyncio.Event()
+        self._written_version = 0
+        """Store version of the last write; 0 if there was none."""
         self.on_change: Callable[[bytes], None] = _ignore
         """Called with the stored encoding of the record after each change."""
 
@@ -110,6 +113,19 @@
         self._changed.set()
         self.on_change(encode_member(self.own))
 
+    def restore(self) -> None:
+        """Write the record again if the store may have lost it.
+
+        That is so once, when the members are known of a later era than that in which it
+        was written.
+        """
+        era = get_era(self._store_sync.members_version)
+        if self._written_version and get_era(self._written_version) < era:
+            self._journal.note("row_restored", era=era)
+            self._written_version = 0
+            self._written.clear()
+            self._changed.set()
+
     async def run(self) -> None:
         """Write the row after each change, until cancelled."""
         while True:
@@ -134,6 +150,7 @@
                 return False
             case Committed(revision):
                 row_versions[member.node_id] = revision
+                self._written_version = revision
         if member.version == self.own.version:
             self._written.set()
         return True
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -433,6 +433,7 @@
         self.budget.server_count = self.directory.count_endpoints(self.backend.service)
         if self.store_sync.has_members:
             self._announcement_handler.apply_stored()
+        self.registration.restore()
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._limits = configuration.limits
--- a/packages/node/src/cassiahatch_node/mesh/store_sync.py
+++ b/packages/node/src/cassiahatch_node/mesh/store_sync.py
@@ -31,6 +31,7 @@
     decode_member,
     encode_member,
 )
+from cassiahatch_node.mesh.missing_members import MissingMembers
 from cassiahatch_node.mesh.settings import StoreSection
 from cassiahatch_node.mesh.store_answers import StoreAnswers
 
@@ -104,6 +105,7 @@
         record received from a peer, this is the version that the update reached."""
         self.member_row_versions: dict[str, int] = {}
         """Store versions of the member rows, by node id."""
+        self._missing_members = MissingMembers()
         self._confirmations = Confirmations(clock)
         self.on_confirmed: Callable[[], None] = _ignore
         """Called after the store has confirmed that a copy is current."""
@@ -367,9 +369,12 @@
         valid_rows = [row for row in scan.rows if self._apply_member_row(row)]
         removed_keys = set(scan.removed)
         if is_full_scan:
-            removed_keys |= self.member_row_versions.keys() - {
-                row.key for row in scan.rows
-            }
+            removed_keys |= self._missing_members.find_removed(
+                self.member_row_versions, scan, self._clock.monotonic()
+            )
+        removed_keys |= self._missing_members.drop_overdue(
+            scan, self._clock.monotonic()
+        )
         for key in removed_keys:
             self.member_row_versions.pop(key, None)
             self._directory.remove(key)
--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -133,6 +133,10 @@
         self.history: list[tuple[int, str, str, bytes | None]] = []
         self.version = 0
         self.oldest_version = 0
+        self.era = 0
+        """Number of times that it has come back from a copy."""
+        self.era_header = ""
+        """Header line sent in place of that of the era."""
         self.is_down = False
         self.refuses_reads = False
         """Tables can't be read, but transactions are applied."""
@@ -173,6 +177,19 @@
         self.oldest_version = self.version
         self.history.clear()
 
+    def copy(self) -> tuple[dict, int]:
+        """Return a copy to which the store can be rolled back."""
+        return dict(self.rows), self.version
+
+    def roll_back(self, copy: tuple[dict, int]) -> None:
+        """Come back from a copy, in the next era."""
+        self.rows, self.version = dict(copy[0]), copy[1]
+        self.drop_history()
+        self.oldest_version = 0
+        self.era += 1
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
     async def _serve(self, reader, writer) -> None:
         request = await MessageReader(reader, True).read()
         if request is None:
@@ -191,11 +208,15 @@
             data = json.dumps(body).encode()
             writer.write(
                 f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n"
+                f"{self.era_header if self.era_header else self._render_era()}"
                 "Content-Type: application/json\r\n\r\n".encode()
                 + data
             )
         writer.close()
 
+    def _render_era(self) -> str:
+        return f"Store-Era: {self.era}\r\n" if self.era else ""
+
     async def _send_endless(self, writer) -> None:
         preambles = {
             "body": b"HTTP/1.1 200 X\r\n\r\n",
@@ -250,7 +271,7 @@
         after, wait_s = int(query["after"]), int(query["wait_ms"]) / 1000
         ends_at = asyncio.get_running_loop().time() + wait_s
         while True:
-            if after < self.oldest_version:
+            if not self.oldest_version <= after <= self.version:
                 return 410, {}
             rows = [
                 self._render(table, key, value, version)
