Renew the bound on the store's clock every 2 s at most, and log contradictions

Cause: with a store or links slower than the accepted uncertainty, every second poll and each heartbeat would have asked for a closer bound. A confirmation without a date could replace a dated one of the same version. Change: attempts to renew are claimed, one in 2 s; store times that the store's clock can't have reached are logged when they are left out. Tables for the bounds after 1,000 s and for versions that are known and not yet in force.

--- a/packages/node/src/cassiahatch_node/mesh/confirmations.py
+++ b/packages/node/src/cassiahatch_node/mesh/confirmations.py
@@ -22,6 +22,9 @@
 MAX_UNCERTAINTY_S = 0.2
 """Uncertainty of the store's clock beyond which a node with a configuration lease renews
 its bound. It grows by 1 ms a second, so that happens every 200 s."""
+RENEWAL_INTERVAL_S = 2.0
+"""Least time between two attempts at that. A slow store or link may give no closer bound,
+however often it is asked."""
 
 
 class ConfigurationAge(NamedTuple):
@@ -47,6 +50,7 @@
         "_config",
         "_coverage",
         "_members",
+        "_renewed_at",
         "_store_clock",
         "needs_bounds",
     )
@@ -57,17 +61,30 @@
         self._config = CopyFreshness(self._store_clock, CONFIG_MAX_AGE_S)
         self._members = CopyFreshness(self._store_clock, MEMBERS_MAX_AGE_S)
         self._coverage = Coverage()
+        self._renewed_at = -inf
+        """Monotonic seconds of the last attempt to reduce the uncertainty."""
         self.needs_bounds = False
         """Whether the uncertainty of the store's clock has to stay small."""
 
-    @property
-    def lacks_bound(self) -> bool:
-        """Whether the uncertainty of the store's clock has to be reduced."""
-        return self.needs_bounds and self._store_clock.uncertainty_s > MAX_UNCERTAINTY_S
+    def claim_renewal(self, uncertainty_s: float = 0.0) -> bool:
+        """Return whether to renew the bound on the store's clock now, and record that.
 
-    def can_reduce(self, uncertainty_s: float) -> bool:
-        """Return whether a peer with this uncertainty can reduce the node's own."""
-        return self.lacks_bound and uncertainty_s < self._store_clock.uncertainty_s / 2
+        Parameters
+        ----------
+        uncertainty_s : float, optional
+            Uncertainty of the peer that would be asked; 0 for the store. Only a peer
+            with less than half of the node's own is worth a message.
+        """
+        own_s, now = self._store_clock.uncertainty_s, self._clock.monotonic()
+        claims = (
+            self.needs_bounds
+            and own_s > MAX_UNCERTAINTY_S
+            and uncertainty_s < own_s / 2
+            and now - self._renewed_at >= RENEWAL_INTERVAL_S
+        )
+        if claims:
+            self._renewed_at = now
+        return claims
 
     def observe_store(self, read_at: float, sent_at: float) -> bool:
         """Take account of the store time of an answer of the store.
@@ -97,27 +114,29 @@
         """Record that a version of the members was the newest at a store time."""
         self._members.confirm(version, at)
 
-    def confirm_by_peer(self, peer: ReaderFrame | Hello, version_in_force: int) -> None:
+    def confirm_by_peer(self, peer: ReaderFrame | Hello, version_in_force: int) -> bool:
         """Take account of when a peer's versions were the newest.
 
-        Times that the store's clock can't have reached are left out: the peer then
-        follows the store's clock from before it was set.
+        Returns False if the store's clock can't have reached these times, which are then
+        left out: the peer, or this node, has not seen that the clock was set.
         """
         match peer:
-            case Hello(store_time=store_time) if store_time != UNKNOWN:
-                self._observe_peer(peer)
-        if not self._store_clock.is_future(peer.config_confirmed_at):
-            self.confirm_configuration(
-                peer.config_version, peer.config_confirmed_at, version_in_force
-            )
-        if not self._store_clock.is_future(peer.members_confirmed_at):
-            self.confirm_members(peer.members_version, peer.members_confirmed_at)
-
-    def _observe_peer(self, hello: Hello) -> None:
-        if hello.answers_sent_at and hello.uncertainty_s < inf:
-            self._store_clock.observe_answer(
-                hello.store_time, hello.answers_sent_at, hello.uncertainty_s
-            )
+            case Hello(answers_sent_at=sent_at, uncertainty_s=uncertainty_s) if (
+                sent_at and uncertainty_s < inf
+            ):
+                agrees = self._store_clock.observe_answer(
+                    peer.store_time, sent_at, uncertainty_s
+                )
+            case _:
+                agrees = True
+        latest = max(peer.config_confirmed_at, peer.members_confirmed_at)
+        if not agrees or self._store_clock.is_future(latest):
+            return False
+        self.confirm_configuration(
+            peer.config_version, peer.config_confirmed_at, version_in_force
+        )
+        self.confirm_members(peer.members_version, peer.members_confirmed_at)
+        return True
 
     def apply_configuration(self, version_in_force: int) -> None:
         """Take account of a new configuration in force."""
--- a/packages/node/src/cassiahatch_node/mesh/freshness.py
+++ b/packages/node/src/cassiahatch_node/mesh/freshness.py
@@ -179,7 +179,9 @@
         """Record that a version was the newest at a store time."""
         if version <= version_in_force:
             self.covered_at = max(self.covered_at, at)
-        elif version >= self._pending_version:
+        elif version == self._pending_version:
+            self._pending_at = max(self._pending_at, at)
+        elif version > self._pending_version:
             self._pending_version, self._pending_at = version, at
 
     def apply(self, version_in_force: int) -> None:
--- a/packages/node/src/cassiahatch_node/mesh/lease.py
+++ b/packages/node/src/cassiahatch_node/mesh/lease.py
@@ -5,7 +5,9 @@
 from typing import Any
 
 from cassiahatch_kernel.exchanges import Rejection
+from cassiahatch_kernel.registry import PLUGINS
 from cassiahatch_node.mesh.journal import Journal
+from cassiahatch_node.mesh.settings import MeshSettings
 from cassiahatch_node.mesh.store_sync import StoreSync
 from cassiahatch_node.observability.metrics import Metrics
 
@@ -58,3 +60,16 @@
             uncertainty_s=round(uncertainty_s, 3),
             max_delay_s=self.lease.max_delay_s,
         )
+
+
+def make_lease(
+    settings: MeshSettings, store_sync: StoreSync, metrics: Metrics, journal: Journal
+) -> LeaseWatch | None:
+    """Return the lease that the settings ask for, or None without ``[revocation]``."""
+    revocation = settings.revocation
+    store_sync.require_bounds(revocation is not None)
+    if revocation is None:
+        return None
+    name = settings.plugins.configuration_lease
+    lease = PLUGINS.create("configuration_lease", name, revocation.max_delay_s)
+    return LeaseWatch(lease, store_sync, metrics, journal)
--- a/packages/node/src/cassiahatch_node/mesh/readers.py
+++ b/packages/node/src/cassiahatch_node/mesh/readers.py
@@ -90,7 +90,7 @@
         if self._directory.find_zone(node_id) == self._zone:
             self._heartbeats[node_id] = frame
         self._store_sync.confirm(frame)
-        if self._store_sync.is_behind(frame):
+        if self._store_sync.is_behind(frame) or self._store_sync.claim_renewal(frame):
             link = self._directory.ensure_link(node_id)
             if link is not None:
                 link.request_update()
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -30,7 +30,7 @@
 from cassiahatch_node.mesh.http_server import ClientServer
 from cassiahatch_node.mesh.ingress import Ingress
 from cassiahatch_node.mesh.journal import EXIT_WAIT_S, Journal
-from cassiahatch_node.mesh.lease import LeaseWatch
+from cassiahatch_node.mesh.lease import LeaseWatch, make_lease
 from cassiahatch_node.mesh.link_in import LinkService, PeerConnection
 from cassiahatch_node.mesh.link_out import LinkCallbacks, PeerLink
 from cassiahatch_node.mesh.own_backend import OwnBackend
@@ -184,7 +184,6 @@
             self.journal,
         )
         self.store_sync.on_confirmed = self.readers.on_confirmed
-        self.store_sync.require_bounds(settings.revocation is not None)
         peer_host, peer_port = split_address(node.advertised or node.peers)
         own = Member(
             node.id, peer_host, peer_port, node.zone, int(clock.wall() * MS_PER_S)
@@ -212,7 +211,7 @@
             self.metrics,
             self.journal,
         )
-        self.egress.lease = self._make_lease(settings)
+        self.egress.lease = self._make_lease()
         self._front_end = FrontEnd(
             dialect,
             self.egress,
@@ -297,19 +296,7 @@
         retries = settings.retries
         self.budget.set_limits(retries.ratio, retries.slack, retries.window_s)
         if settings.revocation != previous:
-            self.store_sync.require_bounds(settings.revocation is not None)
-            self.egress.lease = self._make_lease(settings)
-
-    def _make_lease(self, settings: MeshSettings) -> LeaseWatch | None:
-        revocation = settings.revocation
-        if revocation is None:
-            return None
-        lease = PLUGINS.create(
-            "configuration_lease",
-            settings.plugins.configuration_lease,
-            revocation.max_delay_s,
-        )
-        return LeaseWatch(lease, self.store_sync, self.metrics, self.journal)
+            self.egress.lease = self._make_lease()
 
     async def _open(self) -> None:
         stack, node = self._stack, self._settings.node
@@ -439,6 +426,9 @@
         if ambiguous:
             self.journal.note("ambiguous_api_key", tenants=ambiguous)
 
+    def _make_lease(self) -> LeaseWatch | None:
+        return make_lease(self._settings, self.store_sync, self.metrics, self.journal)
+
     def _create_link(self, member: Member) -> PeerLink:
         callbacks = LinkCallbacks(
             self.directory.record_load,
--- a/packages/node/src/cassiahatch_node/mesh/store_sync.py
+++ b/packages/node/src/cassiahatch_node/mesh/store_sync.py
@@ -171,19 +171,24 @@
 
     def confirm(self, peer: ReaderFrame | Hello) -> None:
         """Take account of when a peer's versions were the newest."""
-        self._confirmations.confirm_by_peer(peer, self.config_version)
+        if not self._confirmations.confirm_by_peer(peer, self.config_version):
+            self._journal.trace(
+                "store_time_contradicted",
+                config_confirmed_at=peer.config_confirmed_at,
+                members_confirmed_at=peer.members_confirmed_at,
+            )
 
     def is_behind(self, reader: ReaderFrame) -> bool:
-        """Return whether a reader can tell this node something.
-
-        That is newer versions, or the store's clock with much less uncertainty.
-        """
+        """Return whether a reader has newer versions than this node."""
         return (
             reader.config_version > self.config_version
             or reader.members_version > self.members_version
-            or self._confirmations.can_reduce(reader.uncertainty_s)
         )
 
+    def claim_renewal(self, reader: ReaderFrame) -> bool:
+        """Return whether to ask a reader now for its estimate of the store's clock."""
+        return self._confirmations.claim_renewal(reader.uncertainty_s)
+
     def make_update(self, hello: Hello) -> UpdateFrame | None:
         """Return what the sender of ``hello`` lacks, or None if it is up to date."""
         config, members = b"", ()
@@ -292,7 +297,8 @@
         while True:
             if since is not None:
                 await self._reading_enabled.wait()
-            is_held = self._may_be_held or not was_held
+            renews = self._confirmations.claim_renewal()
+            is_held = not renews and (self.is_fresh or not was_held)
             sent_at = self._clock.monotonic()
             try:
                 scan = await self._poll(table, since, wait_s if is_held else 0.0)
@@ -315,10 +321,6 @@
             backoff_s = min(self._compute_max_backoff_s(), backoff_s * 2)
             was_held = True
 
-    @property
-    def _may_be_held(self) -> bool:
-        return self.is_fresh and not self._confirmations.lacks_bound
-
     def _observe_clock(self, scan: Scan, sent_at: float) -> None:
         if not self._confirmations.observe_store(scan.read_at, sent_at):
             self._journal.note("store_clock_set", store_time=scan.read_at)
--- a/tests/test_mesh_lease.py
+++ b/tests/test_mesh_lease.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from cassiahatch_node.mesh.confirmations import Confirmations
+from cassiahatch_node.mesh.frames import Hello
 from cassiahatch_node.mesh.freshness import MAX_DRIFT, RESOLUTION_S, StoreClock
 from cassiahatch_node.mesh.settings import RevocationSection
 from cassiahatch_policies.configuration_lease import ConfigurationLease
@@ -211,7 +213,7 @@
     ([(0, 100, 3.0, 0), (1, 101, 0.2, 0)], 1.2, [True, True]),
     ([(0, 100, 0.2, 0), (1, 101, 3.0, 0)], 1.2, [True, True]),
     ([(0, 100, 0.2, 0.4)], 0.6, [True]),
-    ([(0, 100, 0.2, 0), (1, 90, 0.1, 0)], 0.0, [True, False]),
+    ([(0, 200, 0.2, 0), (1, 100, 0.1, 0)], 0.1, [True, False]),
     ([(0, 100, 0.2, 0), (1, 150, 0.1, 0)], 50.1, [True, False]),
     ([(0, 100, 0.2, 0), (1, 150, 0.1, 0.3)], 1.2, [True, False]),
 ]
@@ -234,6 +236,42 @@
     total_s = clock.measure_age(100.0) + clock.uncertainty_s
     assert total_s >= age_s
     assert total_s == pytest.approx(age_s, abs=0.2 + RESOLUTION_S + MAX_DRIFT)
+    node_clock.ahead_s += 1000.0
+    total_s = clock.measure_age(100.0) + clock.uncertainty_s
+    assert total_s >= 1000.0 * (1 + MAX_DRIFT) + age_s
+
+
+COVERED = [
+    # statements that a version was the newest, each with the seconds since; version that
+    # comes into force after version 1; age of the configuration before and after that
+    ([(1, 3.0)], 2, 3.0, 3.0),
+    ([(1, 3.0), (2, 1.0)], 2, 3.0, 1.0),
+    ([(1, 3.0), (2, 1.0)], 3, 3.0, 1.0),
+    ([(1, 3.0), (3, 1.0)], 2, 3.0, 3.0),
+    ([(2, 1.0), (2, 2.0)], 2, inf, 1.0),
+    ([(2, 1.0), (1, 3.0)], 1, 3.0, 3.0),
+    ([(1, 3.0), (1, -9.0)], 1, 3.0, 3.0),
+]
+
+
+@pytest.mark.parametrize(("statements", "version", "before_s", "after_s"), COVERED)
+def test_age_counts_from_when_the_version_in_force_had_all_changes(
+    statements: list[tuple[int, float]], version: int, before_s: float, after_s: float
+) -> None:
+    """Guards against ages of versions that are known and not in force, and of peers."""
+    loop = VirtualLoop()
+    confirmations, now = Confirmations(loop), loop.time()
+    for number, since_s in statements:
+        # The peer's estimate of the store's clock is 0.3 s behind, by up to 0.5 s.
+        hello = Hello(0, "n1", number, 0, now - since_s, 0.0, now - 0.3, 0.5, 1.0, now)
+        confirmations.confirm_by_peer(hello, 1)
+    before = confirmations.measure_configuration_age()
+    confirmations.apply_configuration(version)
+    after = confirmations.measure_configuration_age()
+    loop.close()
+    for age, true_s in ((before, before_s), (after, after_s)):
+        assert age.age_s == pytest.approx(max(0.0, true_s - 0.3))
+        assert sum(age) == pytest.approx(true_s + 0.2 + RESOLUTION_S)
 
 
 ROUTES = {
