--- a/tests/test_mesh_lease.py
+++ b/tests/test_mesh_lease.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from math import inf
 
+import msgspec
 import pytest
 
 from cassiahatch_node.mesh.confirmations import Confirmations
@@ -306,6 +307,11 @@
         metrics = site.hosts[0].sidecar.metrics.render()
         assert 'requests_total{code="configuration_expired"} 1' in metrics
         assert "cassiahatch_configuration_age_s " in metrics
+        settings = site.hosts[0].settings
+        for revocation, status in ((None, 200), (site.revocation, 503)):
+            changed = msgspec.structs.replace(settings, revocation=revocation)
+            site.hosts[0].sidecar.reload(changed)
+            assert (await get(site, "/read/1"))[0] == status
         site.store.is_down = False
         await asyncio.sleep(1.0)
         assert (await get(site, "/read/1"))[0] == 200
