Count trailers with the header fields, and drop them

Cause: the reader checked the size of header fields up to the end of the head only, appended trailers to the fields of the request, and took each byte of them for progress of the body, so that no timeout ended them. Change: trailers count towards max_header_bytes together with the head, also while a field is incomplete; beyond it the request gets 431, isn't run, and its connection is closed. They are no header fields any more: a trailer could change the request's deadline, or add a key. The timeout counts from the last part of the body.

--- a/packages/node/src/cassiahatch_node/mesh/client_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/client_connection.py
@@ -237,10 +237,8 @@
             return
         if reader.started_at is None:
             self._check_idle(now, limits)
-        elif now - reader.started_at >= limits.header_timeout_s:
-            is_receiving_body = now - self.last_data_at < limits.header_timeout_s
-            if not (reader.has_body_started and is_receiving_body):
-                reader.fail(Reason.SLOW_REQUEST)
+        elif now - reader.progressed_at >= limits.header_timeout_s:
+            reader.fail(Reason.SLOW_REQUEST)
 
     def _check_idle(self, now: float, limits: Limits) -> None:
         """End a connection whose client got its last answer an idle timeout ago."""
--- a/packages/node/src/cassiahatch_node/mesh/request_reader.py
+++ b/packages/node/src/cassiahatch_node/mesh/request_reader.py
@@ -45,10 +45,11 @@
     __slots__ = (
         "_body",
         "_body_size",
+        "_head_size",
         "_header_size",
         "_headers",
         "_is_checked",
-        "_is_in_header",
+        "_is_in_fields",
         "_memory_timer",
         "_message_began_at",
         "_on_change",
@@ -62,6 +63,7 @@
         "_wanted_bytes",
         "failure",
         "is_in_body",
+        "progressed_at",
         "requests",
         "started_at",
     )
@@ -89,13 +91,21 @@
         """Why the last request is not read to its end, or None."""
         self.started_at: float | None = None
         """Monotonic seconds at which the first byte of an incomplete request was read."""
+        self.progressed_at = 0.0
+        """Monotonic seconds at which the last part of the body was read, or the first
+        byte of the request. Trailers are no progress, since they may be endless."""
         self._received_at = 0.0
-        self._is_in_header = False
+        self._is_in_fields = False
+        """Whether header fields or trailers are received, or a part of a chunk may be."""
         self.is_in_body = False
         """Whether a head has been read and its body has not."""
         self._header_size = 0
+        """Size of the target, the header fields and the trailers."""
+        self._head_size = 0
+        """The same without the trailers; 0 before the end of the head."""
         self._unfinished_size = 0
-        """Bytes received of an incomplete header, without its first segment."""
+        """Bytes received of an incomplete head, or of incomplete trailers, without the
+        first segment."""
 
     @property
     def is_full(self) -> bool:
@@ -103,16 +113,17 @@
         return bool(self._wanted_bytes) or len(self.requests) >= MAX_PIPELINED
 
     def feed(self, data: bytes, now: float) -> None:
-        """Parse received data and enforce the header size limit."""
+        """Parse received data and enforce the size limit of header fields and trailers."""
         self._received_at = now
-        if self._is_in_header:
+        if self._is_in_fields:
             self._unfinished_size += len(data)
         try:
             self._parse(data)
         except (httptools.HttpParserError, BadRequestError):
             self.fail(Reason.BAD_REQUEST)
-        if self._is_in_header:
-            self._check_header_size(max(self._header_size, self._unfinished_size))
+        if self._is_in_fields:
+            unfinished_size = self._head_size + self._unfinished_size
+            self._check_header_size(max(self._header_size, unfinished_size))
 
     def _parse(self, data: bytes) -> None:
         rest = memoryview(data)
@@ -158,30 +169,47 @@
 
     def on_message_begin(self) -> None:
         """Reset the parser state for a new request."""
+        if self.failure is not None:
+            return
         self._message_began_at = self._received_at
-        self.started_at = self._received_at
+        self.started_at = self.progressed_at = self._received_at
         self._is_checked = False
         self._headers = []
         self._body = []
         self._body_size = 0
-        self._header_size = 0
+        self._header_size = self._head_size = 0
         self._unfinished_size = 0
-        self._is_in_header = True
+        self._is_in_fields = True
         self._target = b""
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
-        self._target += url
-        self._header_size += len(url)
+        if self.failure is None:
+            self._target += url
+            self._header_size += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header field and count its size."""
-        self._headers.append((name, value))
+        """Count the size of a header field or trailer, and store the header field.
+
+        Trailers are dropped: as a header field, one could identify another tenant, or
+        change the deadline of a request that has been checked.
+        """
         self._header_size += len(name) + len(value) + FIELD_OVERHEAD_BYTES
+        if not self.is_in_body:
+            self._headers.append((name, value))
+
+    def on_chunk_header(self) -> None:
+        """Count what follows as trailers, unless a part of the body follows.
+
+        The parser does not tell the size of a chunk: trailers follow one of size 0.
+        """
+        self._is_in_fields = True
+        self._unfinished_size = 0
 
     def on_headers_complete(self) -> None:
         """Check the size of the head, and admit the body if there is one."""
-        self._is_in_header = False
+        self._is_in_fields = False
+        self._head_size = self._header_size
         if self._parser.should_upgrade():
             return
         self.is_in_body = True
@@ -218,8 +246,10 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, within the limits on its size and on the memory."""
+        self._is_in_fields = False
         if self.failure is not None:
             return
+        self.progressed_at = self._received_at
         self._body_size += len(body)
         if self._wanted_bytes or self._body_size <= self._get_space().size:
             self._body.append(body)
@@ -232,6 +262,9 @@
 
     def on_message_complete(self) -> None:
         """Queue the request for the task, unless a limit was exceeded."""
+        self._is_in_fields = False
+        if self._header_size > self._head_size:
+            self._check_header_size(self._header_size)
         if self.failure is not None or self._parser.should_upgrade():
             return
         self.stop_waiting_for_memory()
@@ -309,11 +342,6 @@
         if size > self._server.limits().max_header_bytes:
             self.fail(Reason.HEADERS_TOO_LARGE)
 
-    @property
-    def has_body_started(self) -> bool:
-        """Whether a part of the body that is being received has been read."""
-        return bool(self._body)
-
     def fail(self, reason: Reason, retry_after_s: float = 0.0) -> None:
         """Read the current request no further, and no other one."""
         self.stop_waiting_for_memory()
