Limit what else of a request or response was not counted

Change: requests.max_framing_bytes limits chunk sizes and extensions beyond eight bytes for each byte of the body. Fields beyond the limit are not kept, the body is one buffer, a reader drops its parser, and trailers of responses are dropped.

--- a/packages/node/src/cassiahatch_node/mesh/backend_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/backend_connection.py
@@ -40,6 +40,7 @@
         "_ends_at_close",
         "_expects_no_body",
         "_headers",
+        "_in_head",
         "_in_response",
         "_parser",
         "_received_bytes",
@@ -70,6 +71,7 @@
         self._expects_no_body = False
         self._ends_at_close = False
         self._in_response = False
+        self._in_head = False
         self._headers: RawHeaders = []
         self._body = bytearray()
         self.is_closed = False
@@ -138,15 +140,21 @@
         """Start a response (parser callback)."""
         self._headers = []
         self._body = bytearray()
-        self._in_response = True
+        self._in_response = self._in_head = True
         self._ends_at_close = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header field (parser callback)."""
-        self._headers.append((name, value))
+        """Store a header field (parser callback).
+
+        Trailers are dropped: many short ones take more memory than they count, and as a
+        header field one could say that a request was not run.
+        """
+        if self._in_head:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Determine how the body is delimited (parser callback)."""
+        self._in_head = False
         if self._parser.get_status_code() < 200:
             return
         if self._expects_no_body:
--- a/packages/node/src/cassiahatch_node/mesh/http_server.py
+++ b/packages/node/src/cassiahatch_node/mesh/http_server.py
@@ -39,6 +39,9 @@
         Responds to malformed, oversized or slow requests.
     body_memory : BodyMemory
         Accounts for the bodies that the node holds.
+    max_framing_bytes : int
+        Bytes of chunk sizes and chunk extensions that a request may have beyond those
+        that its body allows.
     on_error : callable
         Called with the exception of a connection task that failed.
     on_undelivered : callable
@@ -54,6 +57,7 @@
         serve: Serve,
         reject: Reject,
         body_memory: BodyMemory,
+        max_framing_bytes: int,
         on_error: Callable[[BaseException], None],
         on_undelivered: Callable[[str, str, int], None],
     ) -> None:
@@ -63,6 +67,7 @@
         self.serve = serve
         self.reject = reject
         self.body_memory = body_memory
+        self.max_framing_bytes = max_framing_bytes
         body_memory.on_release = self._share_memory
         self.waiting_for_memory: deque[RequestReader] = deque()
         """Readers of bodies that wait for memory, in order of arrival."""
--- a/packages/node/src/cassiahatch_node/mesh/request_reader.py
+++ b/packages/node/src/cassiahatch_node/mesh/request_reader.py
@@ -21,6 +21,8 @@
 """Pipelined requests buffered on one connection before reading is paused."""
 FIELD_OVERHEAD_BYTES = 4
 """Size of the colon, the space and the CRLF of a header field."""
+FRAMING_BYTES_PER_BODY_BYTE = 8
+"""Framing bytes that each byte of a body allows; a chunk of one byte takes six."""
 BODILESS_METHODS = (b"GET", b"HEAD")
 MEMORY_WAIT_S = 0.25
 """Time for which a body waits for memory before its request is rejected. Meanwhile the
@@ -45,11 +47,13 @@
     __slots__ = (
         "_body",
         "_body_size",
+        "_framed_size",
         "_head_size",
         "_header_size",
         "_headers",
         "_is_checked",
         "_is_in_fields",
+        "_max_header_bytes",
         "_memory_timer",
         "_message_began_at",
         "_on_change",
@@ -86,7 +90,7 @@
         """Size of the body that waits for memory; 0 if none does."""
         self._memory_timer: asyncio.TimerHandle | None = None
         self._headers: RawHeaders = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self.failure: Rejection | None = None
         """Why the last request is not read to its end, or None."""
         self.started_at: float | None = None
@@ -106,6 +110,8 @@
         self._unfinished_size = 0
         """Bytes received of an incomplete head, or of incomplete trailers, without the
         first segment."""
+        self._framed_size = 0
+        """Bytes received of the body and its framing, without the first segment."""
 
     @property
     def is_full(self) -> bool:
@@ -117,6 +123,8 @@
         self._received_at = now
         if self._is_in_fields:
             self._unfinished_size += len(data)
+        if self.is_in_body:
+            self._framed_size += len(data)
         try:
             self._parse(data)
         except (httptools.HttpParserError, BadRequestError):
@@ -124,6 +132,8 @@
         if self._is_in_fields:
             unfinished_size = self._head_size + self._unfinished_size
             self._check_header_size(max(self._header_size, unfinished_size))
+        if self.is_in_body:
+            self._check_framing_size()
 
     def _parse(self, data: bytes) -> None:
         rest = memoryview(data)
@@ -175,12 +185,13 @@
         self.started_at = self.progressed_at = self._received_at
         self._is_checked = False
         self._headers = []
-        self._body = []
-        self._body_size = 0
+        self._body = bytearray()
+        self._body_size = self._framed_size = 0
         self._header_size = self._head_size = 0
         self._unfinished_size = 0
         self._is_in_fields = True
         self._target = b""
+        self._max_header_bytes = self._server.limits().max_header_bytes
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -192,10 +203,11 @@
         """Count the size of a header field or trailer, and store the header field.
 
         Trailers are dropped: as a header field, one could identify another tenant, or
-        change the deadline of a request that has been checked.
+        change the deadline of a request that has been checked. Fields beyond the limit
+        are dropped too, since one segment may hold tens of thousands of empty ones.
         """
         self._header_size += len(name) + len(value) + FIELD_OVERHEAD_BYTES
-        if not self.is_in_body:
+        if self._header_size <= self._max_header_bytes and not self.is_in_body:
             self._headers.append((name, value))
 
     def on_chunk_header(self) -> None:
@@ -252,11 +264,11 @@
         self.progressed_at = self._received_at
         self._body_size += len(body)
         if self._wanted_bytes or self._body_size <= self._get_space().size:
-            self._body.append(body)
+            self._body += body
         elif not self._fits_limits(self._body_size):
             self.fail(Reason.BODY_TOO_LARGE)
         elif self._get_space().try_extend(self._body_size):
-            self._body.append(body)
+            self._body += body
         else:
             self.fail(Reason.BODY_MEMORY_FULL, MEMORY_RETRY_AFTER_S)
 
@@ -269,9 +281,8 @@
             return
         self.stop_waiting_for_memory()
         self.is_in_body = False
-        parts, self._body = self._body, []
         request = self.make_request()
-        request.body = parts[0] if len(parts) == 1 else b"".join(parts)
+        request.body, self._body = bytes(self._body), bytearray()
         request.is_checked = self._is_checked
         space, self._space = self._space, None
         self.requests.append((request, space))
@@ -329,17 +340,28 @@
         self._server.waiting_for_memory.remove(self)
 
     def release_memory(self) -> None:
-        """Release the memory of bodies that are not served."""
+        """Release the memory of requests that are not served, and read no more.
+
+        The parser is dropped since it refers back to this object: such a cycle, and the
+        fields and the body in it, would stay until the garbage collector runs.
+        """
         spaces = [space for _, space in self.requests] + [self._space]
         self.requests.clear()
-        self._body = []
-        self._space = None
+        self._headers = []
+        self._body = bytearray()
+        self._space = self._parser = None
         for space in spaces:
             if space is not None:
                 space.release()
 
     def _check_header_size(self, size: int) -> None:
-        if size > self._server.limits().max_header_bytes:
+        if size > self._max_header_bytes:
+            self.fail(Reason.HEADERS_TOO_LARGE)
+
+    def _check_framing_size(self) -> None:
+        """Limit the chunk sizes and their extensions, as far as the body needs fewer."""
+        allowed_bytes = (1 + FRAMING_BYTES_PER_BODY_BYTE) * self._body_size
+        if self._framed_size > allowed_bytes + self._server.max_framing_bytes:
             self.fail(Reason.HEADERS_TOO_LARGE)
 
     def fail(self, reason: Reason, retry_after_s: float = 0.0) -> None:
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -227,6 +227,7 @@
             self._front_end.serve,
             self._front_end.reject,
             self.body_memory,
+            settings.requests.max_framing_bytes,
             lambda error: self.journal.note("connection_failed", error=repr(error)),
             self._front_end.record_undelivered,
         )
--- a/packages/node/src/cassiahatch_node/mesh/settings.py
+++ b/packages/node/src/cassiahatch_node/mesh/settings.py
@@ -110,6 +110,14 @@
     its backend server: a quarter of the smallest node's memory, 200 MB."""
 
 
+class RequestSection(Section):
+    """Limit on the framing of clients' requests."""
+
+    max_framing_bytes: Annotated[int, Meta(ge=1024)] = 65_536
+    """Bytes of chunk sizes and chunk extensions that a request may have beyond eight for
+    each byte of its body, which chunks of one byte without extensions don't need."""
+
+
 class SpanSection(Section):
     """Spans of requests, as log lines."""
 
@@ -142,6 +150,7 @@
     retries: RetrySection = RetrySection()
     answers: AnswerSection = AnswerSection()
     bodies: BodySection = BodySection()
+    requests: RequestSection = RequestSection()
     spans: SpanSection = SpanSection()
     plugins: PluginSection = PluginSection()
 
--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -139,8 +139,8 @@
         self.delay_s = 0.0
         """Time that each request waits before it is handled."""
         self.endless_part = ""
-        """Part of each answer that never ends, or empty: ``body``, ``chunks`` or
-        ``fields``."""
+        """Part of each answer that never ends, or empty: ``body``, ``chunks``,
+        ``fields`` or ``trailers``."""
         self.max_sent_bytes = 0
         """Size of the longest endless answer when the node closed the connection."""
         self.request_count = 0
@@ -199,11 +199,13 @@
             "body": b"HTTP/1.1 200 X\r\n\r\n",
             "chunks": f"HTTP/1.1 200 X\r\n{CHUNKED}\r\n".encode(),
             "fields": b"HTTP/1.1 200 X\r\n",
+            "trailers": f"HTTP/1.1 200 X\r\n{CHUNKED}\r\n2\r\n{{}}\r\n0\r\n".encode(),
         }
         repeated = {
             "body": b" " * 65536,
             "chunks": b"10000\r\n" + b" " * 65536 + b"\r\n",
             "fields": b"X-More: more\r\n" * 4000,
+            "trailers": b"X-More: more\r\n" * 4000,
         }
         writer.write(preambles[self.endless_part])
         part, sent_bytes = self.endless_part, 0
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -70,6 +70,7 @@
         assert whole is not None and whole.status in (200, 204)
         expected = b"hello, world" if b"hello" in answer else b""
         assert whole.body == expected
+        assert b"More" not in dict(whole.headers), "a trailer is no header field"
 
     asyncio.run(run())
 
--- a/tests/test_mesh_endless.py
+++ b/tests/test_mesh_endless.py
@@ -141,7 +141,7 @@
     run_scenario(scenario)
 
 
-@pytest.mark.parametrize("part", ["body", "chunks", "fields"])
+@pytest.mark.parametrize("part", ["body", "chunks", "fields", "trailers"])
 def test_an_endless_answer_of_the_store_raises_store_unavailable(
     part: str,
 ) -> None:
--- a/tests/test_mesh_trailers.py
+++ b/tests/test_mesh_trailers.py
@@ -28,6 +28,8 @@
 POST = b"POST /read/%d HTTP/1.1\r\nHost: h.example\r\nCassiahatch-Request-Id: attack-%d\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 ONE_CHUNK = CHUNKED + b"2\r\nok\r\n"
+LAST = b"0\r\n"
+"""Chunk that ends a body; trailers may follow."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -42,9 +44,16 @@
 
 
 ATTACKS = {
-    "trailers": Attack(ONE_CHUNK + b"0\r\n", b"X-T: t\r\n"),
-    "empty_trailers": Attack(ONE_CHUNK + b"0\r\n", b"a:\r\n"),
-    "long_trailer": Attack(ONE_CHUNK + b"0\r\nX-T: ", b"t" * 64),
+    "trailers": Attack(ONE_CHUNK + LAST, b"X-T: t\r\n"),
+    "empty_trailers": Attack(ONE_CHUNK + LAST, b"a:\r\n"),
+    "long_trailer": Attack(ONE_CHUNK + LAST + b"X-T: ", b"t" * 64),
+    "empty_fields": Attack(b"", b"a:\r\n"),
+    "long_field": Attack(b"X-T: ", b"t" * 64),
+    "long_extension": Attack(ONE_CHUNK + b"1;x=", b"y" * 64),
+    "extensions": Attack(ONE_CHUNK, b"1;x=yyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\nz\r\n"),
+    "control_trailers": Attack(ONE_CHUNK + LAST, b"X-T: t\r\n", "control"),
+    "control_fields": Attack(b"", b"a:\r\n", "control"),
+    "control_extension": Attack(ONE_CHUNK + b"1;x=", b"y" * 64, "control"),
 }
 
 
@@ -112,7 +121,6 @@
 )
 KEYLESS = KEYED.replace(b"Api-Key: k1\r\n", b"")
 NAMELESS = KEYED.replace(b"Cassiahatch-Request-Id: r1\r\n", b"")
-LAST = b"0\r\n"
 MAX_HEADER_BYTES = LIMITS["max_header_bytes"]
 FILL = b"X-Fill: " + b"f" * (MAX_HEADER_BYTES - 400) + b"\r\n"
 """Nearly as many bytes of trailers as are left behind the fields of the head."""
@@ -137,6 +145,8 @@
     pytest.param([KEYED, ONE_CHUNK, LAST, *[ANY_SIZE[:1]] * 150], 408, id="slow trailer"),
     pytest.param([KEYED, ONE_CHUNK, b"1;x=", *[b"y"] * 150, b"\r\nz\r\n0\r\n"], 408,
                  id="slow extension"),
+    pytest.param([KEYED, ONE_CHUNK, b"1;x=" + b"y" * 130_000, b"\r\nz\r\n0\r\n"], 431,
+                 id="long extension"),
 ]  # fmt: skip
 
 
