Take no response with an invalid status for an answer

Cause: the connection took a status below 100 for an informational response and waited for another one: status 000 ended as 504 at the deadline, or as the next response on the connection. Change: only 100 to 199 are informational. A response whose status is not in 200 to 599 is invalid: 502, backend_garbled, a safe request is retried elsewhere and an unsafe one is not. It is no promise either, also with Cassiahatch-Not-Executed. The table of broken answers tested nothing: all requests went to the server whose script the test had emptied. Now the servers share one script, and the test asserts that it was played; its 30 rows pass on the code before. Result: 11 new rows fail on the code before and pass now, with tests/test_mesh.py, test_mesh_refusals.py, test_mesh_limits.py and test_cut_answers.py.

--- a/packages/node/src/cassiahatch_node/mesh/backend_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/backend_connection.py
@@ -17,6 +17,8 @@
 """Longest idle time of a connection that is reused for a non-idempotent call, which
 can't be retried if the backend server closes the connection meanwhile."""
 
+MIN_FINAL_STATUS = 200
+"""Lowest status of a response that no other response to the same request follows."""
 MAX_REJECTED_IDS = 128
 """Rejected calls that a connection remembers: more than are sent on it in the time in
 which a call is sent again."""
@@ -155,7 +157,7 @@
     def on_headers_complete(self) -> None:
         """Determine how the body is delimited (parser callback)."""
         self._in_head = False
-        if self._parser.get_status_code() < 200:
+        if self._is_informational:
             return
         if self._expects_no_body:
             self._complete(keeps_alive=False)
@@ -192,9 +194,17 @@
     def on_message_complete(self) -> None:
         """Complete the response, unless it is informational (parser callback)."""
         self._in_response = False
-        if self._parser.get_status_code() >= 200 and not self._expects_no_body:
+        if not (self._is_informational or self._expects_no_body):
             self._complete(self._parser.should_keep_alive())
 
+    @property
+    def _is_informational(self) -> bool:
+        """Whether a final response follows the one that is received.
+
+        One below 100 is invalid, and is final: a server that sends it sends no other.
+        """
+        return 100 <= self._parser.get_status_code() < MIN_FINAL_STATUS
+
     def send(self, head: bytes, expects_no_body: bool, body: bytes = b"") -> None:
         """Send a request."""
         self._release_buffered_bytes()
--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -547,7 +547,7 @@
         stamp: bool = True,
         has_id: bool = True,
     ) -> bytes:
-        text = f"HTTP/1.1 {status} X\r\n"
+        text = f"HTTP/1.1 {status:03} X\r\n"
         if has_id:
             text += f"Cassiahatch-Request-Id: {request_id}\r\n"
         if stamp:
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -104,6 +104,9 @@
     ("reset", "POST", "/order/1", Reason.BACKEND_LOST),
     ("garbage", "POST", "/order/1", Reason.BACKEND_LOST),
     ("unstamped", "POST", "/order/1", Reason.BACKEND_GARBLED),
+    ("ran_but_000", "POST", "/order/1", Reason.BACKEND_GARBLED),
+    ("ran_but_000", "HEAD", "/order/1", Reason.BACKEND_GARBLED),
+    ("ran_but_600", "POST", "/order/1", Reason.BACKEND_GARBLED),
     ("leave", "GET", "/read/1", Reason.NO_MEMBER),
     ("no_route", "GET", "/none/1", Reason.NO_ROUTE),
 ]
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -77,6 +77,10 @@
     ("other_id", 200, 502, 2),
     ("unstamped", 200, 502, 2),
     ("encoded", 200, 502, 2),
+    ("ran_but_000", 200, 502, 2),
+    ("ran_but_099", 200, 502, 2),
+    ("ran_but_600", 200, 502, 2),
+    ("ran_but_999", 200, 502, 2),
     ("fail", 500, 500, 1),
 ]
 
@@ -90,11 +94,12 @@
 ) -> None:
     async def scenario(site: Site) -> None:
         await build_site(site, ["shop", "books", "books"])
-        for host in site.hosts[1:]:
-            host.backend.script = [action]
         servers = site.hosts[1:]
+        # One list, so that whichever server gets the first request fails it.
+        script = [action]
+        for host in servers:
+            host.backend.script = script
         method, path = ("GET", "/read/1") if kind == "safe" else ("POST", "/order/1")
-        servers[1].backend.script = []
         for name in ("r1", "r2"):
             answer = await send(
                 site.hosts[0].client_address, method, path, make_headers(name), b""
@@ -105,6 +110,7 @@
                 assert answer.status == (
                     safe_status if kind == "safe" else unsafe_status
                 )
+        assert not script
         runs: dict[str, int] = {}
         for host in servers:
             for arrival in host.backend.arrivals:
