--- a/packages/node/src/cassiahatch_node/mesh/settings.py
+++ b/packages/node/src/cassiahatch_node/mesh/settings.py
@@ -119,6 +119,14 @@
     when they are 1.2 s old, so a shorter delay would reject requests in calm times."""
 
 
+class RequestSection(Section):
+    """Limit on the framing of clients' requests."""
+
+    max_framing_bytes: Annotated[int, Meta(ge=1024)] = 65_536
+    """Bytes of chunk sizes and chunk extensions that a request may have beyond eight for
+    each byte of its body, which chunks of one byte without extensions don't need."""
+
+
 class SpanSection(Section):
     """Spans of requests, as log lines."""
 
@@ -169,6 +177,7 @@
     retries: RetrySection = RetrySection()
     answers: AnswerSection = AnswerSection()
     bodies: BodySection = BodySection()
+    requests: RequestSection = RequestSection()
     spans: SpanSection = SpanSection()
     quotas: QuotaSection | None = None
     """None if the quotas of tenants are not enforced."""
