Ask for a pipelined body only after earlier answers

A client that pipelined a request with `Expect: 100-continue` got the interim response at once, and took it for one to an earlier request. It is now sent when the requests before it have been answered; the header timeout begins again then, since the client waits for the node in between.

tests/test_mesh_pipelines.py and the tests of the expectation in tests/test_mesh_uploads.py: passed. With the interim response sent at once, as before, the new test fails: the first answer it reads is the interim one.

--- a/packages/node/src/cassiahatch_node/mesh/client_connection.py
+++ b/packages/node/src/cassiahatch_node/mesh/client_connection.py
@@ -302,6 +302,10 @@
         reader = self._reader
         has_work = self._pipeline.has_early or reader.requests
         if not (has_work or reader.failure is not None or self._is_ending):
+            if reader.wants_continue:
+                # The time allowed for the request does not count the wait.
+                reader.started_at = self._server.clock.monotonic()
+                self._send_continue()
             self._request_ready = asyncio.get_running_loop().create_future()
             await self._request_ready
         return self._pipeline.has_early or bool(reader.requests)
@@ -326,7 +330,16 @@
             self._wake_task()
 
     def _send_continue(self) -> None:
-        self._transport.write(CONTINUE)
+        """Ask for a body, once nothing before its request is left to be answered.
+
+        The client takes an interim response for one to its oldest request.
+        """
+        reader = self._reader
+        reader.wants_continue = (
+            self._is_busy or self._pipeline.has_early or bool(reader.requests)
+        )
+        if not reader.wants_continue:
+            self._transport.write(CONTINUE)
 
     def _wake_task(self) -> None:
         waiter = self._request_ready
--- a/packages/node/src/cassiahatch_node/mesh/request_reader.py
+++ b/packages/node/src/cassiahatch_node/mesh/request_reader.py
@@ -64,6 +64,7 @@
         "is_in_body",
         "requests",
         "started_at",
+        "wants_continue",
     )
 
     def __init__(
@@ -89,6 +90,9 @@
         """Why the last request is not read to its end, or None."""
         self.started_at: float | None = None
         """Monotonic seconds at which the first byte of an incomplete request was read."""
+        self.wants_continue = False
+        """Whether the client waits to be asked for the body, which has to wait until
+        earlier requests have been answered."""
         self._received_at = 0.0
         self._is_in_header = False
         self.is_in_body = False
@@ -160,6 +164,7 @@
         """Reset the parser state for a new request."""
         self._message_began_at = self._received_at
         self.started_at = self._received_at
+        self.wants_continue = False
         self._is_checked = False
         self._headers = []
         self._body = []
@@ -243,6 +248,7 @@
         space, self._space = self._space, None
         self.requests.append((request, space))
         self.started_at = None
+        self.wants_continue = False
         self._on_change()
 
     def make_request(self) -> RawRequest:
--- a/tests/test_mesh_pipelines.py
+++ b/tests/test_mesh_pipelines.py
@@ -193,6 +193,28 @@
     run_scenario(scenario)
 
 
+# Guards against an interim response that a client takes for one to an earlier request.
+def test_a_body_is_asked_for_after_the_answers_to_earlier_requests() -> None:
+    sent = [Sent(work_s=1.4), Sent(work_s=1.4), Sent(answer_bytes=10)]
+
+    async def scenario(site: Site) -> None:
+        await build_pipeline_site(site, sent, header_timeout_s=1)
+        reader, writer = await connect(site.hosts[0].client_address)
+        headers = make_headers("r2", 5000) | {"Expect": "100-continue"}
+        headers["Content-Length"] = "4"
+        writer.write(render(sent[:2]) + render_request("PUT", "/read/1", headers))
+        *answers, interim = await read_answers(reader, 3)
+        assert list_statuses(answers, sent[:2]) == [200] * 2
+        assert interim.status == 100
+        await asyncio.sleep(0.7)
+        writer.write(b"body")
+        (answer,) = await read_answers(reader, 1)
+        assert (answer.status, answer.body) == (200, b"y" * 10 + b"body")
+        writer.close()
+
+    run_scenario(scenario)
+
+
 def make_slow_front(front_bytes: int, statuses: list[int], size: int) -> list[Sent]:
     """Return requests whose answers wait behind a slow one."""
     front = Sent(work_s=0.7, answer_bytes=front_bytes)
