Let clients of the soak pipeline safe requests

The soak's pipelines had 2 to 4 requests of equal work, so that their answers were ready in order anyway. `SafePipeline` sends 2 to 20 safe requests whose work mostly falls, and the oracle reports an answer to another request of the same pipeline as a violation of `order`.

--- a/tests/soak/client_kinds.py
+++ b/tests/soak/client_kinds.py
@@ -16,6 +16,10 @@
 in one range: the longer ones delay its end until the shorter ones have been read."""
 
 
+MAX_PIPELINED = 20
+"""Most requests of a ``SafePipeline``; more than a node serves at the same time."""
+
+
 @dataclass(slots=True, frozen=True)
 class Steady:
     """Sends a request on a kept connection, and reads its answer."""
@@ -36,6 +40,14 @@
     count: int
 
 
+@dataclass(slots=True, frozen=True)
+class SafePipeline:
+    """Sends safe requests at once, one for each length of work."""
+
+    work_s: tuple[float, ...]
+    """Most of them fall, so that later answers are ready first."""
+
+
 @dataclass(slots=True, frozen=True)
 class SplitBody:
     """Sends the last part of a body ``wait_s`` after the first one."""
@@ -55,7 +67,9 @@
     wait_s: float
 
 
-ClientKind = Steady | ReadLate | Pipeline | SplitBody | HalfClose | ReuseIdle
+ClientKind = (
+    Steady | ReadLate | Pipeline | SafePipeline | SplitBody | HalfClose | ReuseIdle
+)
 
 
 def draw_kind(
@@ -77,5 +91,16 @@
         SplitBody(random_source.uniform(0.05, 1.0)),
         HalfClose(),
         ReuseIdle(random_source.uniform(0.2, MAX_WAIT_SHARE) * IDLE_TIMEOUT_S),
+        _draw_safe_pipeline(random_source),
     ]
-    return random_source.choices(kinds, (10, 2, 2, 1, 1))[0]
+    return random_source.choices(kinds, (10, 2, 2, 1, 1, 3))[0]
+
+
+def _draw_safe_pipeline(random_source: random.Random) -> SafePipeline:
+    count = random_source.randint(2, MAX_PIPELINED)
+    works = sorted(
+        (random_source.uniform(0.0, 0.2) for _ in range(count)), reverse=True
+    )
+    first, second = random_source.sample(range(count), 2)
+    works[first], works[second] = works[second], works[first]
+    return SafePipeline(tuple(works))
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -16,6 +16,7 @@
     Pipeline,
     ReadLate,
     ReuseIdle,
+    SafePipeline,
     SplitBody,
     Steady,
     draw_kind,
@@ -69,6 +70,8 @@
     """Time at which its answer was complete, or its connection was closed."""
     has_left: bool = False
     """Whether the client has closed its sending half, and is owed no answer."""
+    pipelined_ids: tuple[str, ...] = ()
+    """Ids of the requests sent with it at once, in order, with its own."""
 
 
 @dataclass(slots=True)
@@ -148,6 +151,8 @@
                 self._disconnect()
             case SplitBody():
                 method, path = VARIED_REQUEST_KINDS[1]
+            case SafePipeline():
+                method, path = VARIED_REQUEST_KINDS[0]
             case ReuseIdle(wait_s=wait_s) if self._connection is not None:
                 await asyncio.sleep(wait_s)
         order = render_order(answer_bytes, work_s)
@@ -166,12 +171,22 @@
         Parameters
         ----------
         order : str
-            What the backend server does, as ``render_order`` returns it.
+            What the backend server does, as ``render_order`` returns it; not for a
+            ``SafePipeline``, which has an order for each request.
         """
+        match kind:
+            case Pipeline(count=count):
+                orders = [order] * count
+            case SafePipeline(work_s=works):
+                orders = [render_order(0, work_s) for work_s in works]
+            case _:
+                orders = [order]
         records = [
-            self._make_record(method, path, order, deadline_s)
-            for _ in range(kind.count if isinstance(kind, Pipeline) else 1)
+            self._make_record(method, path, order, deadline_s) for order in orders
         ]
+        pipelined_ids = tuple(record.id for record in records)
+        for record in records:
+            record.pipelined_ids = pipelined_ids
         self.records += records
         try:
             async with asyncio.timeout(deadline_s + 1.0):
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -3,6 +3,7 @@
 Each violation is a line that begins with the guarantee: ``twice`` (an unsafe request
 runs at most once), ``refused`` (a rejected request did not run), ``body`` (a request
 arrives with its own body), ``mixed`` (a client gets only the answer to its request),
+``order`` (pipelined requests are answered in the order sent),
 ``config`` (a node process never returns to an older configuration), ``budget``
 (attempts and retries are bounded), ``lost`` (no request is lost during planned
 operations, and hardly any at other times, see ``soak.losses``) or
@@ -125,8 +126,10 @@
         answer = record.answer
         if answer is None:
             continue
-        if answer.headers.get("cassiahatch-request-id", record.id) != record.id:
-            yield f"mixed: {record.id} got the answer to another request"
+        answered_id = answer.headers.get("cassiahatch-request-id", record.id)
+        if answered_id != record.id:
+            kind = "order" if answered_id in record.pipelined_ids else "mixed"
+            yield f"{kind}: {record.id} got the answer to {answered_id}"
         if answer.status != 200:
             continue
         body = record.id.encode() if record.method == "POST" else b""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
     Pipeline,
     ReadLate,
     ReuseIdle,
+    SafePipeline,
     SplitBody,
     Steady,
 )
@@ -59,6 +60,7 @@
     Steady(),
     ReadLate(0, 0.2),
     Pipeline(3),
+    SafePipeline((0.2, 0.1)),
     SplitBody(0.1),
     HalfClose(),
     ReuseIdle(0.0),
@@ -188,6 +190,15 @@
     )
 
 
+def add_answer_of_later_request(observations: Observations) -> None:
+    record_request(
+        observations,
+        "a",
+        answer=make_answer(504, cassiahatch_request_id="b"),
+        pipelined_ids=("a", "b"),
+    )
+
+
 def add_answer_without_stamp(observations: Observations) -> None:
     record_arrival(observations, "a", "shop-0-0")
     record_request(observations, "a", answer=make_answer(200, b"shop-0-0:a"))
@@ -271,6 +282,7 @@
     (add_run_of_rejected_request, "refused"),
     (add_answer_of_other_request, "mixed"),
     (add_answer_with_other_id, "mixed"),
+    (add_answer_of_later_request, "order"),
     (add_answer_without_stamp, "mixed"),
     (add_stray_bytes, "mixed"),
     (add_older_configuration, "config"),
