Let the pipelining tests fail on a wrong limit and a wrong idle timeout

The test of the idle timeout passed although the timeout ran while requests were open: those that had been read were still answered. It now sends one more request at once after the answers. The test of the limit took the limit from the code.

--- a/tests/test_mesh_pipelines.py
+++ b/tests/test_mesh_pipelines.py
@@ -10,7 +10,6 @@
 import pytest
 
 from cassiahatch_node.mesh.settings import AnswerSection
-from cassiahatch_policies.pipelining import MAX_OPEN
 from mesh_site import (
     Arrival,
     Backend,
@@ -25,6 +24,8 @@
 from test_mesh_process import NodeProcess
 from test_mesh_process import run_scenario as run_process_scenario
 
+MOST_OPEN = 16
+"""Requests of one connection that may be served at the same time."""
 ROUTES = {
     "read": {"prefix": "/read/", "service": "books", "max_attempts": 1},
     "order": {"prefix": "/order/", "service": "books", "kind": "unsafe"},
@@ -129,7 +130,7 @@
     "invalid_in_the_middle": ([SLOW, Sent(has_id=False, status=400), Sent(status=0)], 1),
     "invalid_in_front": ([Sent(has_id=False, status=400), Sent(status=0)], 0),
     # One connection takes all slots of a backend server.
-    "more_than_may_be_open": ([SLOW] * (2 * MAX_OPEN + 5), MAX_OPEN),
+    "more_than_may_be_open": ([SLOW] * (2 * MOST_OPEN + 5), MOST_OPEN),
 }  # fmt: skip
 
 
@@ -268,16 +269,20 @@
     run_scenario(scenario)
 
 
-# Guards against a connection that is closed as idle while its requests run.
+# Guards against a connection that reads no more because it was idle while its requests
+# ran.
 def test_a_connection_with_open_requests_is_not_idle() -> None:
-    sent = [Sent(work_s=0.5), Sent(work_s=2.2), Sent()]
+    sent = [Sent(work_s=0.5), Sent(work_s=2.2), Sent(), Sent()]
 
     async def scenario(site: Site) -> None:
         await build_pipeline_site(site, sent, idle_timeout_s=1)
         reader, writer = await connect(site.hosts[0].client_address)
-        writer.write(render(sent))
-        answers = await read_answers(reader, len(sent))
-        assert list_statuses(answers, sent) == [200] * 3
+        first_bytes = len(render(sent[:3]))
+        writer.write(render(sent)[:first_bytes])
+        answers = await read_answers(reader, 3)
+        writer.write(render(sent)[first_bytes:])
+        answers += await read_answers(reader, 1)
+        assert list_statuses(answers, sent) == [200] * 4
         assert not await reader.read()
         writer.close()
 
