--- a/packages/node/src/cassiahatch_node/mesh/request_reader.py
+++ b/packages/node/src/cassiahatch_node/mesh/request_reader.py
@@ -70,6 +70,7 @@
         "progressed_at",
         "requests",
         "started_at",
+        "wants_continue",
     )
 
     def __init__(
@@ -98,6 +99,9 @@
         self.progressed_at = 0.0
         """Monotonic seconds at which the last part of the body was read, or the first
         byte of the request. Trailers are no progress, since they may be endless."""
+        self.wants_continue = False
+        """Whether the client waits to be asked for the body, which has to wait until
+        earlier requests have been answered."""
         self._received_at = 0.0
         self._is_in_fields = False
         """Whether header fields or trailers are received, or a part of a chunk may be."""
@@ -183,6 +187,7 @@
             return
         self._message_began_at = self._received_at
         self.started_at = self.progressed_at = self._received_at
+        self.wants_continue = False
         self._is_checked = False
         self._headers = []
         self._body = bytearray()
@@ -245,7 +250,7 @@
             self.fail(Reason.BODY_TOO_LARGE)
             return
         if expects_continue or size is None or size > LARGE_BODY_BYTES:
-            rejection = self._server.check(self.make_request())
+            rejection = self._server.handler.check(self.make_request())
             if rejection is not None:
                 self.failure = rejection
                 self._on_change()
@@ -287,6 +292,7 @@
         space, self._space = self._space, None
         self.requests.append((request, space))
         self.started_at = None
+        self.wants_continue = False
         self._on_change()
 
     def make_request(self) -> RawRequest:
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -236,13 +236,11 @@
         self._clients = ClientServer(
             clock,
             lambda: self._limits,
-            self._front_end.check,
-            self._front_end.serve,
-            self._front_end.reject,
+            self._front_end,
             self.body_memory,
             settings.requests.max_framing_bytes,
+            self.answer_memory,
             lambda error: self.journal.note("connection_failed", error=repr(error)),
-            self._front_end.record_undelivered,
         )
         self._announcement_handler = AnnouncementHandler(
             self.backend,
