Adapt the fake server of the reader's tests to its request handler

Change: the fake is its own handler. The checks are unchanged. Result: tests/test_request_reader.py passes.

--- a/tests/test_request_reader.py
+++ b/tests/test_request_reader.py
@@ -33,6 +33,7 @@
     max_framing_bytes = MAX_FRAMING_BYTES
 
     def __init__(self) -> None:
+        self.handler = self
         self.body_memory = BodyMemory(1_000_000)
         self.waiting_for_memory = deque()
 
