Ask another node for a position only where the first one does not help

Cause: on a fleet of nine nodes in virtual time, a killed keeper also cost other tenants requests: a node that names no keeper of one position was not asked for others, which it kept. A keeper that the store did not answer went on asking itself. Change: a node is avoided for a position, not for all, and that holds for the own node as well. tests/test_quota_fleet.py runs the nodes' real links in virtual time: keepers killed, restarted, released or cut off from the store, the whole fleet restarted, the store away for 2 s and for two tenures.

--- a/packages/node/src/cassiahatch_node/mesh/quota_candidates.py
+++ b/packages/node/src/cassiahatch_node/mesh/quota_candidates.py
@@ -17,7 +17,8 @@
 MEMBERS_RANKED_PER_S = 500
 """Members ranked a second: with a hash of 0.3 us for each position, 0.1 % of a core."""
 AVOIDANCE_S = 1.0
-"""Time for which a node that did not answer is not asked, if there are others."""
+"""Time for which a node that did not help is not asked for a position, if there are
+others."""
 
 
 class QuotaCandidates:
@@ -39,14 +40,21 @@
         self._clock = clock
         self._rankings: list[list[str]] = [[] for _ in range(POSITIONS)]
         self._ranked_at = float("-inf")
-        self._avoided: dict[str, float] = {}
-        """Nodes that did not answer, and until when they are not asked."""
+        self._avoided: dict[tuple[int, str], float] = {}
+        """Positions and nodes that did not help with them, and until when."""
         self.is_leaving = False
         """Whether this node stops and is no longer a candidate."""
 
-    def avoid(self, node_id: str) -> None:
-        """Prefer other nodes for a while, since this one did not answer."""
-        self._avoided[node_id] = self._clock.monotonic() + AVOIDANCE_S
+    def avoid(self, position: int, node_id: str) -> None:
+        """Prefer other nodes for a while, since this one did not help.
+
+        It may still be the keeper of other positions.
+        """
+        now = self._clock.monotonic()
+        self._avoided = {
+            key: until for key, until in self._avoided.items() if until > now
+        }
+        self._avoided[position, node_id] = now + AVOIDANCE_S
 
     def is_first(self, position: int) -> bool:
         """Return whether no other candidate for a position can be reached before this."""
@@ -58,9 +66,10 @@
 
     def choose(self, position: int) -> str | None:
         """Return the first candidate that can be reached, or None."""
-        ready = self._list_ready(position)
-        for node_id in ready:
-            if self.is_reachable(node_id):
+        now = self._clock.monotonic()
+        for node_id in self._list_ready(position):
+            is_avoided = self._avoided.get((position, node_id), now) > now
+            if not is_avoided and self.is_reachable(node_id):
                 return node_id
         return None
 
@@ -68,8 +77,6 @@
         """Return whether a node can be asked; opens the link to it."""
         if node_id == self._own_id:
             return not self.is_leaving
-        if self._avoided.get(node_id, float("-inf")) > self._clock.monotonic():
-            return False
         link = self._directory.ensure_link(node_id)
         return link is not None and link.is_ready
 
--- a/packages/node/src/cassiahatch_node/mesh/tenant_quotas.py
+++ b/packages/node/src/cassiahatch_node/mesh/tenant_quotas.py
@@ -190,7 +190,7 @@
         if keeper.number == frame.number:
             keeper.asked = ""
         if not frame.tenure:
-            self._follow_reference(keeper, node_id, frame.holder)
+            self._follow_reference(frame.position, node_id, frame.holder)
             return
         keeper.holder, keeper.refused_by = node_id, ""
         for grant in frame.grants:
@@ -293,13 +293,13 @@
                 return
             account.waiting.popleft().set_result(grant)
 
-    def _follow_reference(self, keeper: _Keeper, node_id: str, holder: str) -> None:
+    def _follow_reference(self, position: int, node_id: str, holder: str) -> None:
         """Ask the holder that a node has named, or another candidate at last.
 
         Nodes whose knowledge is old may name each other, so that a second reference
         within a tick is only followed at the next one.
         """
-        now = self._clock.monotonic()
+        keeper, now = self._keepers[position], self._clock.monotonic()
         if keeper.holder == node_id:
             keeper.holder = ""
         if holder and holder != node_id and self._candidates.is_reachable(holder):
@@ -313,7 +313,7 @@
             keeper.refused_by, keeper.refused_since = node_id, now
         elif now - keeper.refused_since > MAX_REFUSAL_S:
             keeper.refused_by = ""
-            self._candidates.avoid(node_id)
+            self._candidates.avoid(position, node_id)
 
     def _tick(self, now: float) -> None:
         """Measure the demand, return surplus units, and drop idle accounts."""
@@ -345,7 +345,7 @@
             if not is_late and self._candidates.is_reachable(keeper.asked):
                 keeper.is_delayed = True
                 return
-            self._candidates.avoid(keeper.asked)
+            self._candidates.avoid(position, keeper.asked)
             keeper.asked, keeper.holder = "", ""
         if now < keeper.paused_until:
             return
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -224,6 +224,8 @@
 class Fleet:
     """Nodes of several availability zones, and their store."""
 
+    node_type: type[Node] = Node
+
     def __init__(self, loop: VirtualLoop, zones: dict[str, int], seed: int = 1) -> None:
         self.loop = loop
         self.seed = seed
@@ -268,7 +270,7 @@
             4,
         )
         self.store.put(MEMBER_TABLE, node_id, encode_member(member))
-        node = self.nodes[node_id] = Node(self, node_id, zone)
+        node = self.nodes[node_id] = self.node_type(self, node_id, zone)
         node.start()
 
     def kill(self, node_id: str) -> None:
