Hold positions only while a tenant has a quota, and by address

Cause: with the section [quotas] every fleet wrote two rows a second, also without a tenant that has a quota. A node took back the row of its own id at once, although a process of that id at another address may still run. A peer without the section closed its link on the first request for units. Change: the row names the holder's address, and only a process at the same address takes it back; positions are claimed and renewed while a tenant has a quota; a peer without the section answers that it holds no position; a store without a clock gives no tenure.

--- a/packages/kernel/src/cassiahatch_kernel/tenants.py
+++ b/packages/kernel/src/cassiahatch_kernel/tenants.py
@@ -37,7 +37,7 @@
         The tenants; their names are distinct.
     """
 
-    __slots__ = ("_by_key", "_by_name", "ambiguous_tenants")
+    __slots__ = ("_by_key", "_by_name", "ambiguous_tenants", "has_quotas")
 
     def __init__(self, tenants: Iterable[Tenant] = ()) -> None:
         self._by_name = {tenant.name: tenant for tenant in tenants}
@@ -54,6 +54,8 @@
             del self._by_key[key]
         self.ambiguous_tenants = tuple(sorted(ambiguous_tenants))
         """Names of the tenants that share a key with another one."""
+        self.has_quotas = any(t.rate_per_s > 0 for t in self._by_name.values())
+        """Whether a tenant may only send a number of requests a second."""
 
     @property
     def has_tenants(self) -> bool:
--- a/packages/node/src/cassiahatch_node/mesh/link_in.py
+++ b/packages/node/src/cassiahatch_node/mesh/link_in.py
@@ -59,6 +59,11 @@
 MS_PER_S = 1000
 
 
+def refuse_quota(frame: QuotaRequestFrame) -> QuotaGrantFrame:
+    """Answer a request of quota units where quotas are not enforced."""
+    return QuotaGrantFrame(frame.number, frame.position)
+
+
 @dataclass(slots=True)
 class LinkService:
     """Open inbound connections, with the parts of the node that they need."""
@@ -82,8 +87,8 @@
     """Provides the cutoff and the retry budget use at this service and downstream."""
     body_memory: BodyMemory
     answer_memory: AnswerMemory
-    on_quota_request: Callable[[QuotaRequestFrame], QuotaGrantFrame] | None = None
-    """Answers a peer's request of quota units; None if quotas are not enforced."""
+    on_quota_request: Callable[[QuotaRequestFrame], QuotaGrantFrame] = refuse_quota
+    """Answers a peer's request of quota units."""
     connections: set[PeerConnection] = field(default_factory=set)
     ticked_at: float = float("inf")
     """Monotonic seconds of the last tick of the event loop."""
@@ -332,7 +337,7 @@
                 self._service.on_update(frame)
             case ReaderFrame():
                 self._service.on_reader(self._peer, frame)
-            case QuotaRequestFrame() if self._service.on_quota_request:
+            case QuotaRequestFrame():
                 self.write(encode_frame(self._service.on_quota_request(frame)))
             case _:
                 raise BadFrameError(
--- a/packages/node/src/cassiahatch_node/mesh/quota_keepers.py
+++ b/packages/node/src/cassiahatch_node/mesh/quota_keepers.py
@@ -21,7 +21,7 @@
     StoreUnavailableError,
 )
 from cassiahatch_kernel.registry import PLUGINS
-from cassiahatch_kernel.tenants import Tenant
+from cassiahatch_kernel.tenants import TenantTable
 from cassiahatch_node.mesh.frames import (
     QuotaAsk,
     QuotaGrant,
@@ -91,8 +91,8 @@
     ----------
     own : Candidate
         This node and its process.
-    find_tenant : callable
-        Returns the tenant of a name in the configuration in force, or None.
+    get_tenants : callable
+        Returns the tenants of the configuration in force.
     bound : QuotaBound
         The limit that the buckets keep.
     bucket_plugin : str
@@ -104,7 +104,7 @@
         own: Candidate,
         store: FeedStore,
         candidates: QuotaCandidates,
-        find_tenant: Callable[[str], Tenant | None],
+        get_tenants: Callable[[], TenantTable],
         bound: QuotaBound,
         bucket_plugin: str,
         clock: Clock,
@@ -115,7 +115,7 @@
         self._own = own
         self._store = store
         self._candidates = candidates
-        self._find_tenant = find_tenant
+        self._get_tenants = get_tenants
         self._bound = bound
         self._bucket_plugin = bucket_plugin
         self._clock = clock
@@ -152,10 +152,10 @@
         return QuotaGrantFrame(frame.number, frame.position, holding.row.number, grants)
 
     async def run(self) -> None:
-        """Renew and claim tenures until cancelled."""
+        """Renew and claim tenures until cancelled, while a tenant has a quota."""
         while True:
             await self._wait_for_check()
-            if not self._candidates.is_leaving:
+            if self._get_tenants().has_quotas and not self._candidates.is_leaving:
                 await self._renew_due()
                 await self._claim_missing()
 
@@ -183,7 +183,7 @@
         return QuotaGrantFrame(frame.number, frame.position)
 
     def _grant(self, holding: Holding, ask: QuotaAsk, now: float) -> QuotaGrant:
-        tenant = self._find_tenant(ask.tenant)
+        tenant = self._get_tenants().get(ask.tenant)
         if tenant is None:
             return QuotaGrant(ask.tenant, 0)
         if tenant.rate_per_s <= 0:
@@ -341,6 +341,9 @@
             self._journal.trace("quota_tenures_not_read", error=error.detail)
             return None
         received_at = self._clock.monotonic()
+        if not scan.read_at:
+            self._journal.trace("quota_tenures_not_read", error="store without a clock")
+            return None
         self._store_time = StoreTime(scan.read_at, sent_at, received_at)
         return {row.key: row for row in scan.rows}
 
@@ -355,5 +358,5 @@
                     "bad_quota_keeper", position=position, error=str(error)
                 )
                 latest = self._store_time.compute_latest(self._clock.monotonic())
-                self._unreadable[key] = TenureRow("", 0, 0, latest + TENURE_S)
+                self._unreadable[key] = TenureRow("", "", 0, 0, latest + TENURE_S)
             return self._unreadable[key]
--- a/packages/node/src/cassiahatch_node/mesh/quota_setup.py
+++ b/packages/node/src/cassiahatch_node/mesh/quota_setup.py
@@ -7,7 +7,7 @@
 
 from cassiahatch_kernel.clock import Clock
 from cassiahatch_kernel.ports import FeedStore
-from cassiahatch_kernel.tenants import Tenant
+from cassiahatch_kernel.tenants import TenantTable
 from cassiahatch_node.mesh.directory import Directory
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.quota_candidates import QuotaCandidates
@@ -26,7 +26,7 @@
     settings: MeshSettings,
     store: FeedStore,
     directory: Directory,
-    find_tenant: Callable[[str], Tenant | None],
+    get_tenants: Callable[[], TenantTable],
     clock: Clock,
     random_source: random.Random,
     metrics: Metrics,
@@ -38,13 +38,15 @@
         return None
     bound = QuotaBound(section.window_s, section.overrun, section.slack)
     process = random.SystemRandom().getrandbits(PROCESS_BITS)
-    own = Candidate(node.id, process, node.is_first_start)
+    own = Candidate(
+        node.id, node.advertised or node.peers, process, node.is_first_start
+    )
     candidates = QuotaCandidates(node.id, directory, clock)
     keepers = QuotaKeepers(
         own,
         store,
         candidates,
-        find_tenant,
+        get_tenants,
         bound,
         plugins.tenant_bucket,
         clock,
@@ -57,7 +59,7 @@
         keepers,
         candidates,
         directory,
-        find_tenant,
+        get_tenants,
         plugins.tenant_allowance,
         clock,
         random_source,
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -215,7 +215,7 @@
             settings,
             self._store,
             self.directory,
-            lambda name: self.egress.tenants.get(name),
+            lambda: self.egress.tenants,
             clock,
             self._random,
             self.metrics,
--- a/packages/node/src/cassiahatch_node/mesh/tenant_quotas.py
+++ b/packages/node/src/cassiahatch_node/mesh/tenant_quotas.py
@@ -12,7 +12,7 @@
 from cassiahatch_kernel.clock import Clock
 from cassiahatch_kernel.exchanges import Reason, Rejection
 from cassiahatch_kernel.registry import PLUGINS
-from cassiahatch_kernel.tenants import Tenant
+from cassiahatch_kernel.tenants import TenantTable
 from cassiahatch_node.mesh.directory import Directory
 from cassiahatch_node.mesh.frames import (
     QuotaAsk,
@@ -101,8 +101,8 @@
         Id of this node.
     keepers : QuotaKeepers
         Called directly for positions that this node holds.
-    find_tenant : callable
-        Returns the tenant of a name in the configuration in force, or None.
+    get_tenants : callable
+        Returns the tenants of the configuration in force.
     allowance_plugin : str
         Name of the plug-in that holds the units of a tenant.
     """
@@ -113,7 +113,7 @@
         keepers: QuotaKeepers,
         candidates: QuotaCandidates,
         directory: Directory,
-        find_tenant: Callable[[str], Tenant | None],
+        get_tenants: Callable[[], TenantTable],
         allowance_plugin: str,
         clock: Clock,
         random_source: random.Random,
@@ -123,7 +123,7 @@
         self.keepers = keepers
         self._candidates = candidates
         self._directory = directory
-        self._find_tenant = find_tenant
+        self._get_tenants = get_tenants
         self._allowance_plugin = allowance_plugin
         self._clock = clock
         self._random = random_source
@@ -142,7 +142,7 @@
         Returns the grant whose unit pays for it, True if the tenant has no limit, or
         False if there is no unit in hand.
         """
-        tenant = self._find_tenant(name)
+        tenant = self._get_tenants().get(name)
         if tenant is None or tenant.rate_per_s <= 0:
             return True
         account = self._accounts.get(name)
--- a/packages/policies/src/cassiahatch_policies/quota_tenure.py
+++ b/packages/policies/src/cassiahatch_policies/quota_tenure.py
@@ -48,6 +48,8 @@
 
     holder: str
     """Node id; empty if the row can't be decoded."""
+    address: str
+    """Address of the holder, at which only one process can listen at a time."""
     process: int
     """Random number of the holder's process."""
     number: int
@@ -60,6 +62,8 @@
     """A node that claims positions."""
 
     node_id: str
+    address: str
+    """Address at which the node listens for links."""
     process: int
     is_first_start: bool
     """Whether the whole system starts for the first time."""
@@ -89,13 +93,13 @@
 ) -> Claim | Wait:
     """Return how to claim a position, or until when another node holds it.
 
-    An earlier process of the same node has ended, since its listening ports are in use
-    by this one.
+    An earlier process of the same node and address has ended, since this one listens
+    there.
     """
     if row is None:
         started_at = float("-inf") if own.is_first_start else now
         return _make_claim(own, 1, store_time, started_at, now)
-    if row.holder == own.node_id:
+    if (row.holder, row.address) == (own.node_id, own.address):
         is_continued = row.process == own.process
         number = row.number + (not is_continued)
         return _make_claim(own, number, store_time, now, now, is_continued)
@@ -120,9 +124,8 @@
     now: float,
     is_continued: bool = False,
 ) -> Claim:
-    row = TenureRow(
-        own.node_id, own.process, number, store_time.compute_latest(now) + TENURE_S
-    )
+    ends_at = store_time.compute_latest(now) + TENURE_S
+    row = TenureRow(own.node_id, own.address, own.process, number, ends_at)
     return Claim(row, started_at, now + TENURE_S - CLOCK_MARGIN_S, is_continued)
 
 
--- a/tests/test_mesh_frames.py
+++ b/tests/test_mesh_frames.py
@@ -24,6 +24,11 @@
     Hello,
     LoadFrame,
     ProbeFrame,
+    QuotaAsk,
+    QuotaGrant,
+    QuotaGrantFrame,
+    QuotaRequestFrame,
+    QuotaReturn,
     ReaderFrame,
     ResultFrame,
     TakeFrame,
@@ -62,6 +67,9 @@
     ResultFrame(5, Reply(200, b"", b""), Load(), 1.0, 0.5, 70_000),
     BodyFrame(5, b"part"),
     TakeFrame(5),
+    QuotaRequestFrame(1, 7, (QuotaAsk("acme", 3),), (QuotaReturn("bolt", 2, 9, 1),)),
+    QuotaGrantFrame(1, 7, 2, (QuotaGrant("acme", 0, 9, 150),)),
+    QuotaGrantFrame(2, 7, holder="n1"),
 ]
 
 
--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -73,7 +73,7 @@
             settings,
             WritableStoreClient(fleet.store, node_id),
             self.directory,
-            fleet.tenants.get,
+            lambda: fleet.tenants,
             fleet.loop,
             random.Random(f"{fleet.seed} {node_id}"),
             Metrics(),
@@ -258,7 +258,8 @@
 
 def test_fleet_writes_two_rows_a_second_and_reads_none_in_calm() -> None:
     async def scenario(loop: VirtualLoop) -> None:
-        async with QuotaFleet(loop, 9, []) as fleet:
+        tenants = [Tenant("t0", (), None, 1.0)]
+        async with QuotaFleet(loop, 9, tenants) as fleet:
             before = fleet.store.version
             await asyncio.sleep(20.0)
             writes = fleet.store.version - before
--- a/tests/test_tenant_quota.py
+++ b/tests/test_tenant_quota.py
@@ -9,6 +9,7 @@
 import random
 from dataclasses import dataclass, field
 
+import msgspec
 import pytest
 
 from cassiahatch_policies import quota_tenure
@@ -151,17 +152,18 @@
     assert allowance.compute_request(0, 0.4) == 0
 
 
-OWN = Candidate("n1", 7, is_first_start=False)
+OWN = Candidate("n1", "h:1", 7, is_first_start=False)
 STORE_TIME = StoreTime(read_at=500.0, sent_at=10.0, received_at=10.2)
 """The store's clock is between 489.8 and 490 s ahead of the node's."""
 CLAIMS = [
     # row; monotonic seconds; tenure's number, start and whether it is continued; or until
     # when the position has a holder
     (None, 11.0, (1, 11.0, False)),
-    (TenureRow("n2", 3, 4, 501.0), 11.1, 11.2),
-    (TenureRow("n2", 3, 4, 501.0), 11.3, (5, 11.2, False)),
-    (TenureRow("n1", 3, 4, 900.0), 11.0, (5, 11.0, False)),
-    (TenureRow("n1", 7, 4, 501.0), 11.0, (4, 11.0, True)),
+    (TenureRow("n2", "h:2", 3, 4, 501.0), 11.1, 11.2),
+    (TenureRow("n2", "h:2", 3, 4, 501.0), 11.3, (5, 11.2, False)),
+    (TenureRow("n1", "h:1", 3, 4, 900.0), 11.0, (5, 11.0, False)),
+    (TenureRow("n1", "h:9", 3, 4, 501.0), 11.1, 11.2),
+    (TenureRow("n1", "h:1", 7, 4, 501.0), 11.0, (4, 11.0, True)),
 ]
 
 
@@ -181,9 +183,9 @@
 
 
 def test_first_start_of_the_system_begins_with_full_buckets() -> None:
-    first = Candidate("n1", 7, is_first_start=True)
+    first = Candidate("n1", "h:1", 7, is_first_start=True)
     assert plan_claim(None, first, STORE_TIME, 11.0).started_at == NEVER
-    row = TenureRow("n2", 3, 4, 400.0)
+    row = TenureRow("n2", "h:2", 3, 4, 400.0)
     assert plan_claim(row, first, STORE_TIME, 11.0).started_at > NEVER
 
 
@@ -283,7 +285,7 @@
         return self._find_excess()
 
     def _make_node(self, number: int, process: int, is_first: bool) -> ModelNode:
-        own = Candidate(f"n{number}", process, is_first)
+        own = Candidate(f"n{number}", "h:1", process, is_first)
         return ModelNode(own, self.quota, Allowance(self.now))
 
     def _keep_tenure(self, node: ModelNode) -> None:
@@ -466,7 +468,7 @@
 
 def claim_early(row, own, store_time, now):
     if row is not None:
-        row = TenureRow(row.holder, row.process, row.number, row.ends_at - 3)
+        row = msgspec.structs.replace(row, ends_at=row.ends_at - 3)
     return quota_tenure.plan_claim(row, own, store_time, now)
 
 
