--- a/packages/node/src/cassiahatch_node/mesh/tenant_quotas.py
+++ b/packages/node/src/cassiahatch_node/mesh/tenant_quotas.py
@@ -12,7 +12,7 @@
 from cassiahatch_kernel.clock import Clock
 from cassiahatch_kernel.exchanges import Reason, Rejection
 from cassiahatch_kernel.registry import PLUGINS
-from cassiahatch_kernel.tenants import Tenant
+from cassiahatch_kernel.tenants import TenantTable
 from cassiahatch_node.mesh.directory import Directory
 from cassiahatch_node.mesh.frames import (
     QuotaAsk,
@@ -101,8 +101,8 @@
         Id of this node.
     keepers : QuotaKeepers
         Called directly for positions that this node holds.
-    find_tenant : callable
-        Returns the tenant of a name in the configuration in force, or None.
+    get_tenants : callable
+        Returns the tenants of the configuration in force.
     allowance_plugin : str
         Name of the plug-in that holds the units of a tenant.
     """
@@ -113,7 +113,7 @@
         keepers: QuotaKeepers,
         candidates: QuotaCandidates,
         directory: Directory,
-        find_tenant: Callable[[str], Tenant | None],
+        get_tenants: Callable[[], TenantTable],
         allowance_plugin: str,
         clock: Clock,
         random_source: random.Random,
@@ -123,7 +123,7 @@
         self.keepers = keepers
         self._candidates = candidates
         self._directory = directory
-        self._find_tenant = find_tenant
+        self._get_tenants = get_tenants
         self._allowance_plugin = allowance_plugin
         self._clock = clock
         self._random = random_source
@@ -142,7 +142,7 @@
         Returns the grant whose unit pays for it, True if the tenant has no limit, or
         False if there is no unit in hand.
         """
-        tenant = self._find_tenant(name)
+        tenant = self._get_tenants().get(name)
         if tenant is None or tenant.rate_per_s <= 0:
             return True
         account = self._accounts.get(name)
@@ -190,7 +190,7 @@
         if keeper.number == frame.number:
             keeper.asked = ""
         if not frame.tenure:
-            self._follow_reference(keeper, node_id, frame.holder)
+            self._follow_reference(frame.position, node_id, frame.holder)
             return
         keeper.holder, keeper.refused_by = node_id, ""
         for grant in frame.grants:
@@ -293,13 +293,13 @@
                 return
             account.waiting.popleft().set_result(grant)
 
-    def _follow_reference(self, keeper: _Keeper, node_id: str, holder: str) -> None:
+    def _follow_reference(self, position: int, node_id: str, holder: str) -> None:
         """Ask the holder that a node has named, or another candidate at last.
 
         Nodes whose knowledge is old may name each other, so that a second reference
         within a tick is only followed at the next one.
         """
-        now = self._clock.monotonic()
+        keeper, now = self._keepers[position], self._clock.monotonic()
         if keeper.holder == node_id:
             keeper.holder = ""
         if holder and holder != node_id and self._candidates.is_reachable(holder):
@@ -313,7 +313,7 @@
             keeper.refused_by, keeper.refused_since = node_id, now
         elif now - keeper.refused_since > MAX_REFUSAL_S:
             keeper.refused_by = ""
-            self._candidates.avoid(node_id)
+            self._candidates.avoid(position, node_id)
 
     def _tick(self, now: float) -> None:
         """Measure the demand, return surplus units, and drop idle accounts."""
@@ -345,7 +345,7 @@
             if not is_late and self._candidates.is_reachable(keeper.asked):
                 keeper.is_delayed = True
                 return
-            self._candidates.avoid(keeper.asked)
+            self._candidates.avoid(position, keeper.asked)
             keeper.asked, keeper.holder = "", ""
         if now < keeper.paused_until:
             return
