Delay claims of quota positions also at a start in a later era

Cause: a process that starts after the store has fallen back can't know how long ago, and might claim a position whose holder still grants units. Change: the first read of a later era delays claims like a change of the era. Result: tests/test_mesh_quotas.py and tests/test_mesh_eras.py pass.

--- a/packages/node/src/cassiahatch_node/mesh/quota_keepers.py
+++ b/packages/node/src/cassiahatch_node/mesh/quota_keepers.py
@@ -131,8 +131,8 @@
         their tenures can have."""
         self._store_time: StoreTime | None = None
         self._wanted = asyncio.Event()
-        self._store_era: int | None = None
-        """Highest era in which the table was read; None before."""
+        self._store_era = 0
+        """Highest era in which the table was read."""
         self._claims_from = float("-inf")
         """Monotonic seconds before which no position is claimed."""
 
@@ -272,7 +272,7 @@
         No other node claims the position before this tenure has ended.
         """
         await self._read_rows()
-        is_later = (self._store_era or 0) > get_era(holding.version)
+        is_later = self._store_era > get_era(holding.version)
         return is_later and (row is None or row.number < holding.row.number)
 
     def _lose(self, position: int, row: TenureRow | None) -> None:
@@ -377,11 +377,10 @@
         """Claim nothing in a new era until each tenure of before it has ended.
 
         The store may have lost their rows. That also ends the first start of the system,
-        in which a position without a row has had no holder.
+        in which a position without a row has had no holder. A process that starts in a
+        later era than the first can't know when that began.
         """
-        if self._store_era is None:
-            self._store_era = era
-        elif era > self._store_era:
+        if era > self._store_era:
             self._store_era = era
             self._claims_from = now + TENURE_S
             self._own = msgspec.structs.replace(self._own, is_first_start=False)
