Tell clients over the quota to wait for a quarter of a second at least

Cause: Retry-After followed the time until a single unit flows in, 0.05 s at 20 requests a second; the node rejects such a retry again without asking the keeper. Change: Retry-After is at least the longest time for which a node does not ask again.

--- a/packages/node/src/cassiahatch_node/mesh/tenant_quotas.py
+++ b/packages/node/src/cassiahatch_node/mesh/tenant_quotas.py
@@ -38,7 +38,8 @@
 MIN_EXHAUSTED_S = 0.05
 MAX_EXHAUSTED_S = 0.25
 """Bounds of the time for which requests are rejected at once after the keeper has said
-that the quota is used up. Units flow in meanwhile, and any node may get them."""
+that the quota is used up. Units flow in meanwhile, and any node may get them. The upper
+bound is also the least ``Retry-After``: the answer may not change before."""
 PAUSE_S = 0.05
 """Pause after an answer without a keeper, or without units and without saying that the
 quota is used up. Each request that arrives would otherwise ask again at once."""
@@ -149,10 +150,9 @@
         if account is None:
             account = self._open_account(name)
         grant = account.allowance.take(self._clock.monotonic())
-        if grant is None:
-            return False
-        self._metrics.count("quota_units:spent")
-        return grant
+        if grant is not None:
+            self._metrics.count("quota_units:spent")
+        return grant or False
 
     async def wait_for_unit(self, name: str) -> Grant | Rejection:
         """Wait a bounded time for the unit of a request that ``try_admit`` has counted.
@@ -256,7 +256,8 @@
             account.allowance.give_back(outcome, self._clock.monotonic())
 
     def _reject(self, account: _Account) -> Rejection:
-        wait_s = account.allowance.wait_s * self._random.uniform(*RETRY_SPREAD)
+        wait_s = max(account.allowance.wait_s, MAX_EXHAUSTED_S)
+        wait_s *= self._random.uniform(*RETRY_SPREAD)
         return Rejection(Reason.QUOTA_EXCEEDED, wait_s)
 
     def _credit(self, granted: QuotaGrant, tenure: int, requested_at: float) -> None:
--- a/tests/test_mesh_quotas.py
+++ b/tests/test_mesh_quotas.py
@@ -96,7 +96,7 @@
         assert QUOTA["burst"] <= runs == statuses[200] <= LIMIT
         for answer in answers:
             if answer.status == 429:
-                assert 0 < float(answer.headers["retry-after"]) <= 10
+                assert MAX_EXHAUSTED_S <= float(answer.headers["retry-after"]) <= 10
                 assert json.loads(answer.body) == {"error": "quota_exceeded"}
 
     run_scenario(scenario)
