Use the project's word for teams in code, logs and settings

Cause: the project says team for what the platform calls a tenant; the new parts used the platform's word outside platform/. Change: names of modules, types, log fields, metrics and plug-ins; the platform's words stay where its messages are decoded.

--- a/packages/kernel/src/cassiahatch_kernel/configurations.py
+++ b/packages/kernel/src/cassiahatch_kernel/configurations.py
@@ -8,7 +8,7 @@
 
 from cassiahatch_kernel.errors import CodedError
 from cassiahatch_kernel.routes import Limits, RouteRule
-from cassiahatch_kernel.tenants import Tenant
+from cassiahatch_kernel.teams import Team
 
 
 class BadConfigurationError(CodedError):
@@ -26,8 +26,8 @@
     limits: Limits
     unknown_kinds: tuple[str, ...] = ()
     """Kinds of routes that this version does not know, in alphabetical order."""
-    tenants: tuple[Tenant, ...] = ()
-    """Tenants, in alphabetical order; if there are any, requests need keys."""
+    teams: tuple[Team, ...] = ()
+    """Teams, in alphabetical order; if there are any, requests need keys."""
 
 
 class ConfigurationSource(Protocol):
--- a/packages/kernel/src/cassiahatch_kernel/exchanges.py
+++ b/packages/kernel/src/cassiahatch_kernel/exchanges.py
@@ -31,15 +31,15 @@
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
-    """The request carries no key of a tenant, or several keys."""
+    """The request carries no key of a team, or several keys."""
     UNKNOWN_PARENT = "unknown_parent"
     """The call belongs to no run that the node knows, and carries no key."""
     CONFIGURATION_EXPIRED = "configuration_expired"
     """The configuration in force may be too old to decide whether a key is still valid."""
     QUOTA_EXCEEDED = "quota_exceeded"
-    """The tenant has used up its quota."""
+    """The team has used up its quota."""
     QUOTA_UNKNOWN = "quota_unknown"
-    """No keeper has granted a unit of the tenant's quota in time, or refused one."""
+    """No keeper has granted a unit of the team's quota in time, or refused one."""
     NO_MEMBER = "no_member"
     """No backend server of the service could be reached."""
     EDGE_OVERLOAD = "edge_overload"
@@ -120,7 +120,7 @@
     timeout_s: float | None
     """How long the client waits from ``arrived`` on; None if it did not say."""
     api_key: bytes = b""
-    """Key of the tenant, which stays at this node; empty if the request carries none,
+    """Key of the team, which stays at this node; empty if the request carries none,
     or several."""
 
 
@@ -155,8 +155,8 @@
     """Milliseconds from the moment of sending until the latency target of the root
     request passes; negative once it has passed."""
     attempt_kind: AttemptKind = AttemptKind.FIRST
-    tenant: str = ""
-    """Name of the tenant that the root request belongs to; empty for none."""
+    team: str = ""
+    """Name of the team that the root request belongs to; empty for none."""
 
 
 class Reply(msgspec.Struct, array_like=True, tag=1, frozen=True):
--- a/packages/kernel/src/cassiahatch_kernel/routes.py
+++ b/packages/kernel/src/cassiahatch_kernel/routes.py
@@ -46,7 +46,7 @@
     priority: int
     """Rank of the route; 0 is the most urgent."""
     is_public: bool = False
-    """Whether its requests need no key, also if there are tenants."""
+    """Whether its requests need no key, also if there are teams."""
 
     @property
     def is_idempotent(self) -> bool:
--- a/packages/node/src/cassiahatch_node/mesh/dialect.py
+++ b/packages/node/src/cassiahatch_node/mesh/dialect.py
@@ -22,13 +22,13 @@
     The plug-in is selected by the ``dialect`` setting.
     """
 
-    def decode_request(self, raw: RawRequest, has_tenants: bool = False) -> Request:
+    def decode_request(self, raw: RawRequest, has_teams: bool = False) -> Request:
         """Decode a client's request.
 
         Parameters
         ----------
-        has_tenants : bool, optional
-            Whether keys identify tenants, so that they are not forwarded.
+        has_teams : bool, optional
+            Whether keys identify teams, so that they are not forwarded.
 
         Raises
         ------
--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -19,7 +19,7 @@
 )
 from cassiahatch_kernel.members import Member
 from cassiahatch_kernel.routes import RouteRule, RouteTable
-from cassiahatch_kernel.tenants import TenantTable
+from cassiahatch_kernel.teams import TeamTable
 from cassiahatch_node.mesh.call_graph import CallGraph
 from cassiahatch_node.mesh.crash_watch import CrashWatch
 from cassiahatch_node.mesh.directory import Directory
@@ -28,7 +28,7 @@
 from cassiahatch_node.mesh.lease import LeaseWatch
 from cassiahatch_node.mesh.request_state import RequestState, combine_results
 from cassiahatch_node.mesh.spans import Hop, Spans, format_result
-from cassiahatch_node.mesh.tenant_quotas import TenantQuotas
+from cassiahatch_node.mesh.team_quotas import TeamQuotas
 from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_policies.identification import (
     Identity,
@@ -38,7 +38,7 @@
 from cassiahatch_policies.placement import Endpoint, is_outlier
 from cassiahatch_policies.positions import compute_position
 from cassiahatch_policies.retry_budget import allows_retry
-from cassiahatch_policies.tenant_quota import Grant
+from cassiahatch_policies.team_quota import Grant
 
 MS_PER_S = 1000
 EDGE_RETRY_AFTER_S = (0.4, 1.6)
@@ -115,13 +115,13 @@
         self._journal = journal
         self.table: RouteTable | None = None
         """The current routes; None until the node has received a configuration."""
-        self.tenants = TenantTable()
-        """Tenants of the configuration in force."""
+        self.teams = TeamTable()
+        """Teams of the configuration in force."""
         self.lease: LeaseWatch | None = None
         """The lease on the configuration; None if keys need no revocation in bounded
         time."""
-        self.quotas: TenantQuotas | None = None
-        """Enforces the quotas of tenants; None if they are not enforced."""
+        self.quotas: TeamQuotas | None = None
+        """Enforces the quotas of teams; None if they are not enforced."""
         self.is_ending = False
         """Whether the process ends, so that nothing is sent any more."""
 
@@ -135,7 +135,7 @@
     def identify(self, request: Request, rule: RouteRule) -> Identity | Rejection:
         """Return whose request it is and its rank, or a rejection.
 
-        A call of a run at the local backend server belongs to the tenant of that run.
+        A call of a run at the local backend server belongs to the team of that run.
         A key counts only while the configuration lease holds.
         """
         match self._find_identity(request, rule):
@@ -146,12 +146,12 @@
 
     def _find_identity(self, request: Request, rule: RouteRule) -> Identity | Rejection:
         if not request.parent:
-            return identify_request(self.tenants, rule, request.api_key)
+            return identify_request(self.teams, rule, request.api_key)
         parent = self._ingress.running.get(request.parent)
         if parent is None and request.api_key:
-            return identify_request(self.tenants, rule, request.api_key)
+            return identify_request(self.teams, rule, request.api_key)
         parent_call = None if parent is None else parent.call
-        return identify_call(self.tenants, rule, parent_call)
+        return identify_call(self.teams, rule, parent_call)
 
     async def serve(
         self, request: Request, rule: RouteRule, identity: Identity
@@ -166,7 +166,7 @@
         state = self._create_state(request, rule, identity)
         result = await self._send_with_retries(state)
         if isinstance(paid, Grant) and isinstance(result, Rejection):
-            self.quotas.give_back(identity.tenant, paid)
+            self.quotas.give_back(identity.team, paid)
         if self._spans.is_sampled(state.position):
             spent_s = self._clock.monotonic() - request.arrived
             self._spans.write(Hop.REQUEST, request.id, spent_s, result, route=rule.name)
@@ -175,19 +175,19 @@
     async def _pay(
         self, request: Request, identity: Identity
     ) -> Grant | Rejection | bool:
-        """Pay for a request out of its tenant's quota, or return its rejection."""
+        """Pay for a request out of its team's quota, or return its rejection."""
         if self.quotas is None or not identity.has_key:
             return True
-        paid = self.quotas.try_admit(identity.tenant)
+        paid = self.quotas.try_admit(identity.team)
         if paid is not False:
             return paid
-        outcome = await self.quotas.wait_for_unit(identity.tenant)
+        outcome = await self.quotas.wait_for_unit(identity.team)
         if isinstance(outcome, Rejection):
             self._journal.trace(
                 "refused_by_quota",
                 request=request.id,
                 reason=outcome.reason,
-                tenant=identity.tenant,
+                team=identity.team,
                 retry_after_s=round(outcome.retry_after_s, 3),
             )
         return outcome
@@ -210,7 +210,7 @@
                 request=request.id,
                 reason=Reason.EDGE_OVERLOAD,
                 route=rule.name,
-                tenant=identity.tenant,
+                team=identity.team,
                 position=round(position, 3),
                 cutoff=round(
                     self._graph.get_reported_cutoff(rule.name, request.arrived), 3
@@ -235,7 +235,7 @@
             compute_expiry(request, rule),
             identity.rank,
             compute_position(identity.rank, request.root),
-            identity.tenant,
+            identity.team,
             root_target_at,
             is_caused_by_retry,
         )
@@ -408,7 +408,7 @@
             rule.is_idempotent,
             (state.root_target_at - now) * MS_PER_S,
             state.attempt_kind,
-            state.tenant,
+            state.team,
         )
 
     def _update_health(self, endpoint: Endpoint, outcome: Result) -> None:
--- a/packages/node/src/cassiahatch_node/mesh/frames.py
+++ b/packages/node/src/cassiahatch_node/mesh/frames.py
@@ -158,16 +158,16 @@
 
 
 class QuotaAsk(msgspec.Struct, array_like=True, frozen=True):
-    """Units that a node requests for a tenant."""
+    """Units that a node requests for a team."""
 
-    tenant: str
+    team: str
     units: Annotated[int, Meta(ge=1)]
 
 
 class QuotaReturn(msgspec.Struct, array_like=True, frozen=True):
     """Units of a grant that a node has not spent and will not spend."""
 
-    tenant: str
+    team: str
     tenure: int
     serial: int
     units: Annotated[int, Meta(ge=1)]
@@ -184,9 +184,9 @@
 
 
 class QuotaGrant(msgspec.Struct, array_like=True, frozen=True):
-    """Units that a keeper grants for a tenant."""
+    """Units that a keeper grants for a team."""
 
-    tenant: str
+    team: str
     units: Annotated[int, Meta(ge=0)]
     serial: int = 0
     """Number of the grant, which a return names."""
--- a/packages/node/src/cassiahatch_node/mesh/front_end.py
+++ b/packages/node/src/cassiahatch_node/mesh/front_end.py
@@ -160,7 +160,7 @@
         try:
             request = None
             if raw is not None:
-                request = self._dialect.decode_request(raw, self._has_tenants)
+                request = self._dialect.decode_request(raw, self._has_teams)
         except BadRequestError:
             request = None
         if request is not None:
@@ -186,8 +186,8 @@
         )
 
     @property
-    def _has_tenants(self) -> bool:
-        return self._egress.tenants.has_tenants
+    def _has_teams(self) -> bool:
+        return self._egress.teams.has_teams
 
     def _decode(self, raw: RawRequest) -> Request:
         """Decode a request, dated to when its client may have sent it.
@@ -197,7 +197,7 @@
         BadRequestError
             If the request lacks a required header or value.
         """
-        request = self._dialect.decode_request(raw, self._has_tenants)
+        request = self._dialect.decode_request(raw, self._has_teams)
         request.arrived = self._compute_earliest_sending(raw.arrived)
         return request
 
--- a/packages/node/src/cassiahatch_node/mesh/quota_keepers.py
+++ b/packages/node/src/cassiahatch_node/mesh/quota_keepers.py
@@ -1,4 +1,4 @@
-"""Keepers of tenants' quotas: the positions that this node holds, and their buckets."""
+"""Keepers of teams' quotas: the positions that this node holds, and their buckets."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 )
 from cassiahatch_kernel.registry import PLUGINS
 from cassiahatch_kernel.store_versions import get_era
-from cassiahatch_kernel.tenants import TenantTable
+from cassiahatch_kernel.teams import TeamTable
 from cassiahatch_node.mesh.frames import (
     QuotaAsk,
     QuotaGrant,
@@ -44,7 +44,7 @@
     plan_claim,
     plan_renewal,
 )
-from cassiahatch_policies.tenant_quota import QuotaBound
+from cassiahatch_policies.team_quota import QuotaBound
 
 KEEPER_TABLE = "quota_keepers"
 CHECK_INTERVAL_S = 0.25
@@ -63,7 +63,7 @@
 
 @dataclass(slots=True)
 class Holding:
-    """A position that this node holds, or has held, with the tenants' buckets."""
+    """A position that this node holds, or has held, with the teams' buckets."""
 
     row: TenureRow
     version: int
@@ -92,8 +92,8 @@
     ----------
     own : Candidate
         This node and its process.
-    get_tenants : callable
-        Returns the tenants of the configuration in force.
+    get_teams : callable
+        Returns the teams of the configuration in force.
     bound : QuotaBound
         The limit that the buckets keep.
     bucket_plugin : str
@@ -105,7 +105,7 @@
         own: Candidate,
         store: FeedStore,
         candidates: QuotaCandidates,
-        get_tenants: Callable[[], TenantTable],
+        get_teams: Callable[[], TeamTable],
         bound: QuotaBound,
         bucket_plugin: str,
         clock: Clock,
@@ -116,7 +116,7 @@
         self._own = own
         self._store = store
         self._candidates = candidates
-        self._get_tenants = get_tenants
+        self._get_teams = get_teams
         self._bound = bound
         self._bucket_plugin = bucket_plugin
         self._clock = clock
@@ -150,17 +150,17 @@
             return self._refer(frame)
         now = self._clock.monotonic()
         for back in frame.returns:
-            bucket = holding.buckets.get(back.tenant)
+            bucket = holding.buckets.get(back.team)
             if bucket is not None and back.tenure == holding.row.number:
                 bucket.take_back(back.units, back.serial, now)
         grants = tuple(self._grant(holding, ask, now) for ask in frame.asks)
         return QuotaGrantFrame(frame.number, frame.position, holding.row.number, grants)
 
     async def run(self) -> None:
-        """Renew and claim tenures until cancelled, while a tenant has a quota."""
+        """Renew and claim tenures until cancelled, while a team has a quota."""
         while True:
             await self._wait_for_check()
-            if self._get_tenants().has_quotas and not self._candidates.is_leaving:
+            if self._get_teams().has_quotas and not self._candidates.is_leaving:
                 await self._renew_due()
                 await self._claim_missing()
 
@@ -188,22 +188,22 @@
         return QuotaGrantFrame(frame.number, frame.position)
 
     def _grant(self, holding: Holding, ask: QuotaAsk, now: float) -> QuotaGrant:
-        tenant = self._get_tenants().get(ask.tenant)
-        if tenant is None:
-            return QuotaGrant(ask.tenant, 0)
-        if tenant.rate_per_s <= 0:
-            return QuotaGrant(ask.tenant, ask.units)
-        bucket = holding.buckets.get(ask.tenant)
+        team = self._get_teams().get(ask.team)
+        if team is None:
+            return QuotaGrant(ask.team, 0)
+        if team.rate_per_s <= 0:
+            return QuotaGrant(ask.team, ask.units)
+        bucket = holding.buckets.get(ask.team)
         if bucket is None:
-            bucket = holding.buckets[ask.tenant] = PLUGINS.create(
-                "tenant_bucket",
+            bucket = holding.buckets[ask.team] = PLUGINS.create(
+                "team_bucket",
                 self._bucket_plugin,
                 self._bound,
-                tenant.rate_per_s,
-                tenant.burst,
+                team.rate_per_s,
+                team.burst,
                 holding.started_at,
             )
-        bucket.set_quota(tenant.rate_per_s, tenant.burst, now)
+        bucket.set_quota(team.rate_per_s, team.burst, now)
         units = bucket.grant(ask.units, now)
         self._metrics.count("quota_units:granted", units)
         wait_ms = 0
@@ -212,7 +212,7 @@
             if bucket.is_settled(now):
                 wait_s = bucket.compute_wait_s(ask.units - units, now)
                 wait_ms = max(1, int(wait_s * MS_PER_S))
-        return QuotaGrant(ask.tenant, units, bucket.serial, wait_ms)
+        return QuotaGrant(ask.team, units, bucket.serial, wait_ms)
 
     async def _wait_for_check(self) -> None:
         interval_s = CHECK_INTERVAL_S * (0.5 + self._random.random())
--- a/packages/node/src/cassiahatch_node/mesh/request_reader.py
+++ b/packages/node/src/cassiahatch_node/mesh/request_reader.py
@@ -207,7 +207,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Count the size of a header field or trailer, and store the header field.
 
-        Trailers are dropped: as a header field, one could identify another tenant, or
+        Trailers are dropped: as a header field, one could identify another team, or
         change the deadline of a request that has been checked. Fields beyond the limit
         are dropped too, since one segment may hold tens of thousands of empty ones.
         """
--- a/packages/node/src/cassiahatch_node/mesh/request_state.py
+++ b/packages/node/src/cassiahatch_node/mesh/request_state.py
@@ -27,8 +27,8 @@
     """Deadline in monotonic seconds."""
     rank: int
     position: float
-    tenant: str
-    """Name of the tenant that the root request belongs to; empty for none."""
+    team: str
+    """Name of the team that the root request belongs to; empty for none."""
     root_target_at: float
     """Monotonic seconds at which the latency target of its root request passes; a later
     answer is worth less."""
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -14,7 +14,7 @@
 from cassiahatch_kernel.members import Member
 from cassiahatch_kernel.registry import MESH_GROUP, PLUGINS, load_plugins
 from cassiahatch_kernel.routes import Limits, RouteTable
-from cassiahatch_kernel.tenants import Tenant, TenantTable
+from cassiahatch_kernel.teams import Team, TeamTable
 from cassiahatch_node.mesh.announcement_handler import AnnouncementHandler
 from cassiahatch_node.mesh.answer_memory import AnswerMemory
 from cassiahatch_node.mesh.arrivals import ArrivalLog
@@ -35,7 +35,7 @@
 from cassiahatch_node.mesh.link_out import LinkCallbacks, PeerLink
 from cassiahatch_node.mesh.own_backend import OwnBackend
 from cassiahatch_node.mesh.process_signals import ProcessSignals
-from cassiahatch_node.mesh.quota_setup import make_tenant_quotas
+from cassiahatch_node.mesh.quota_setup import make_team_quotas
 from cassiahatch_node.mesh.readers import ReaderElection
 from cassiahatch_node.mesh.registration import Registration
 from cassiahatch_node.mesh.response_limits import ResponseLimits
@@ -92,7 +92,7 @@
         self._stack = AsyncExitStack()
         self._stopping = asyncio.Event()
         self._limits = Limits()
-        self._tenants: tuple[Tenant, ...] = ()
+        self._teams: tuple[Team, ...] = ()
         self._servers: list[asyncio.Server] = []
         self._wire(journal_fd)
 
@@ -213,11 +213,11 @@
             self.journal,
         )
         self.egress.lease = self._make_lease()
-        self.egress.quotas = self.quotas = make_tenant_quotas(
+        self.egress.quotas = self.quotas = make_team_quotas(
             settings,
             self._store,
             self.directory,
-            lambda: self.egress.tenants,
+            lambda: self.egress.teams,
             clock,
             self._random,
             self.metrics,
@@ -423,7 +423,7 @@
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._limits = configuration.limits
-        self._apply_tenants(configuration)
+        self._apply_teams(configuration)
         self.egress.table = RouteTable(
             configuration.version,
             configuration.rules,
@@ -431,19 +431,19 @@
             self._random,
         )
 
-    def _apply_tenants(self, configuration: Configuration) -> None:
-        if configuration.tenants == self._tenants:
+    def _apply_teams(self, configuration: Configuration) -> None:
+        if configuration.teams == self._teams:
             return
-        self._tenants = configuration.tenants
-        self.egress.tenants = TenantTable(configuration.tenants)
+        self._teams = configuration.teams
+        self.egress.teams = TeamTable(configuration.teams)
         self.journal.note(
-            "tenants_in_force",
+            "teams_in_force",
             version=configuration.version,
-            tenants=len(configuration.tenants),
+            teams=len(configuration.teams),
         )
-        ambiguous = self.egress.tenants.ambiguous_tenants
+        ambiguous = self.egress.teams.ambiguous_teams
         if ambiguous:
-            self.journal.note("ambiguous_api_key", tenants=ambiguous)
+            self.journal.note("ambiguous_api_key", teams=ambiguous)
 
     def _make_lease(self) -> LeaseWatch | None:
         return make_lease(self._settings, self.store_sync, self.metrics, self.journal)
--- a/packages/node/src/cassiahatch_node/mesh/settings.py
+++ b/packages/node/src/cassiahatch_node/mesh/settings.py
@@ -135,16 +135,16 @@
 
 
 class QuotaSection(Section):
-    """Bound on the requests of a tenant that has a quota.
+    """Bound on the requests of a team that has a quota.
 
     In any window at most ``(rate x window_s + burst) x (1 + overrun) + slack`` of them
     run, over all nodes.
     """
 
     window_s: Annotated[float, Meta(gt=0)] = 5.0
-    """Length of the window in which the requests of a tenant are counted."""
+    """Length of the window in which the requests of a team are counted."""
     overrun: Annotated[float, Meta(ge=0)] = 0.1
-    """Share by which the requests in a window may exceed the tenant's quota."""
+    """Share by which the requests in a window may exceed the team's quota."""
     slack: Annotated[float, Meta(ge=0)] = 20.0
     """Requests that may be added to that."""
 
@@ -164,8 +164,8 @@
     quarantine: str = "two-crashes"
     stop_admission: str = "deadline"
     configuration_lease: str = "store-age"
-    tenant_bucket: str = "window"
-    tenant_allowance: str = "ahead"
+    team_bucket: str = "window"
+    team_allowance: str = "ahead"
 
 
 class MeshSettings(Section):
@@ -180,7 +180,7 @@
     requests: RequestSection = RequestSection()
     spans: SpanSection = SpanSection()
     quotas: QuotaSection | None = None
-    """None if the quotas of tenants are not enforced."""
+    """None if the quotas of teams are not enforced."""
     plugins: PluginSection = PluginSection()
     revocation: RevocationSection | None = None
     """None if keys need not be revoked in bounded time."""
--- a/packages/node/src/cassiahatch_node/mesh/tenant_quotas.py
+++ b/packages/node/src/cassiahatch_node/mesh/team_quotas.py
@@ -1,4 +1,4 @@
-"""Enforcement of tenants' quotas at the node that received a request."""
+"""Enforcement of teams' quotas at the node that received a request."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from cassiahatch_kernel.clock import Clock
 from cassiahatch_kernel.exchanges import Reason, Rejection
 from cassiahatch_kernel.registry import PLUGINS
-from cassiahatch_kernel.tenants import TenantTable
+from cassiahatch_kernel.teams import TeamTable
 from cassiahatch_node.mesh.directory import Directory
 from cassiahatch_node.mesh.frames import (
     QuotaAsk,
@@ -25,7 +25,7 @@
 from cassiahatch_node.mesh.quota_keepers import QuotaKeepers
 from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_policies.quota_tenure import POSITIONS, find_position
-from cassiahatch_policies.tenant_quota import GRANT_LIFE_S, Grant
+from cassiahatch_policies.team_quota import GRANT_LIFE_S, Grant
 
 TICK_INTERVAL_S = 0.1
 """Interval at which a node measures demand, and asks again for units that are missing."""
@@ -54,13 +54,13 @@
 UNKNOWN_RETRY_AFTER_S = 0.5
 """``Retry-After`` of requests that got no unit in time."""
 IDLE_S = 3.0
-"""Time without requests after which what is known of a tenant is dropped."""
+"""Time without requests after which what is known of a team is dropped."""
 MS_PER_S = 1000
 
 
 @dataclass(slots=True)
 class _Account:
-    """Units of a tenant at this node, and the requests that wait for some."""
+    """Units of a team at this node, and the requests that wait for some."""
 
     keeper: _Keeper
     allowance: Any
@@ -88,12 +88,12 @@
         default_factory=lambda: deque(maxlen=MAX_PENDING_RETURNS)
     )
     accounts: dict[str, _Account] = field(default_factory=dict)
-    """Accounts of the position's tenants."""
+    """Accounts of the position's teams."""
     short: dict[str, _Account] = field(default_factory=dict)
     """Those of them with requests that wait for units."""
 
 
-class TenantQuotas:
+class TeamQuotas:
     """Pays for the requests of clients with units that keepers grant.
 
     Parameters
@@ -102,10 +102,10 @@
         Id of this node.
     keepers : QuotaKeepers
         Called directly for positions that this node holds.
-    get_tenants : callable
-        Returns the tenants of the configuration in force.
+    get_teams : callable
+        Returns the teams of the configuration in force.
     allowance_plugin : str
-        Name of the plug-in that holds the units of a tenant.
+        Name of the plug-in that holds the units of a team.
     """
 
     def __init__(
@@ -114,7 +114,7 @@
         keepers: QuotaKeepers,
         candidates: QuotaCandidates,
         directory: Directory,
-        get_tenants: Callable[[], TenantTable],
+        get_teams: Callable[[], TeamTable],
         allowance_plugin: str,
         clock: Clock,
         random_source: random.Random,
@@ -124,7 +124,7 @@
         self.keepers = keepers
         self._candidates = candidates
         self._directory = directory
-        self._get_tenants = get_tenants
+        self._get_teams = get_teams
         self._allowance_plugin = allowance_plugin
         self._clock = clock
         self._random = random_source
@@ -140,11 +140,11 @@
     def try_admit(self, name: str) -> Grant | bool:
         """Admit a request if that needs no waiting.
 
-        Returns the grant whose unit pays for it, True if the tenant has no limit, or
+        Returns the grant whose unit pays for it, True if the team has no limit, or
         False if there is no unit in hand.
         """
-        tenant = self._get_tenants().get(name)
-        if tenant is None or tenant.rate_per_s <= 0:
+        team = self._get_teams().get(name)
+        if team is None or team.rate_per_s <= 0:
             return True
         account = self._accounts.get(name)
         if account is None:
@@ -224,7 +224,7 @@
 
     def _open_account(self, name: str) -> _Account:
         allowance = PLUGINS.create(
-            "tenant_allowance", self._allowance_plugin, self._clock.monotonic()
+            "team_allowance", self._allowance_plugin, self._clock.monotonic()
         )
         account = _Account(self._keepers[find_position(name)], allowance)
         self._accounts[name] = account.keeper.accounts[name] = account
@@ -265,12 +265,12 @@
 
         If the quota is used up, the requests that get no unit are rejected.
         """
-        account, now = self._accounts.get(granted.tenant), self._clock.monotonic()
+        account, now = self._accounts.get(granted.team), self._clock.monotonic()
         grant = Grant(
             granted.units, requested_at + GRANT_LIFE_S, tenure, granted.serial
         )
         if account is None:
-            self._return(granted.tenant, grant, grant.units)
+            self._return(granted.team, grant, grant.units)
             return
         if granted.units:
             account.allowance.add(grant)
--- a/packages/policies/src/cassiahatch_policies/quota_tenure.py
+++ b/packages/policies/src/cassiahatch_policies/quota_tenure.py
@@ -20,7 +20,7 @@
 RENEWAL_INTERVAL_S = 4.0
 TENURE_S = 6.5
 """Length of a tenure: the store may be away for 2.5 s before one ends. When a keeper is
-lost, an eighth of the tenants wait for as long as this for a new one."""
+lost, an eighth of the teams wait for as long as this for a new one."""
 CLOCK_MARGIN_S = 0.05
 """Time by which a holder ends its tenure early. Clocks differ in speed by less than that
 in the time for which a measurement of the store's clock is used."""
@@ -129,9 +129,9 @@
     return Claim(row, started_at, now + TENURE_S - CLOCK_MARGIN_S, is_continued)
 
 
-def find_position(tenant: str) -> int:
-    """Return the position whose holder keeps a tenant's quota."""
-    return hash_text(tenant) % POSITIONS
+def find_position(team: str) -> int:
+    """Return the position whose holder keeps a team's quota."""
+    return hash_text(team) % POSITIONS
 
 
 def rank_candidates(position: int, node_ids: Iterable[str], count: int) -> list[str]:
--- a/packages/policies/src/cassiahatch_policies/tenant_quota.py
+++ b/packages/policies/src/cassiahatch_policies/team_quota.py
@@ -1,6 +1,6 @@
-"""Quotas of tenants: the keeper's token bucket, and the units that a node holds.
+"""Quotas of teams: the keeper's token bucket, and the units that a node holds.
 
-The load it answers is that of a tenant that sends more than it may, through any number of
+The load it answers is that of a team that sends more than it may, through any number of
 nodes. A keeper grants units, and a node spends one unit for each request before the end
 of the unit's grant. Only what a keeper has granted can be spent, so lost grants and
 nodes that are cut off never raise the number of requests.
@@ -31,11 +31,11 @@
 """Time whose expected requests a node holds units for. It is below the life of a grant,
 so that most units are spent before they have to be returned."""
 DEMAND_MEMORY_S = 0.5
-"""Time constant of the average of a tenant's requests at a node."""
+"""Time constant of the average of a team's requests at a node."""
 
 
 class QuotaBound(msgspec.Struct, frozen=True):
-    """Limit on the requests of a tenant in any window, as a function of its quota."""
+    """Limit on the requests of a team in any window, as a function of its quota."""
 
     window_s: float
     overrun: float
@@ -78,9 +78,9 @@
     at: float
 
 
-@PLUGINS.register("tenant_bucket", "window")
-class TenantBucket:
-    """The token bucket of one tenant at its keeper.
+@PLUGINS.register("team_bucket", "window")
+class TeamBucket:
+    """The token bucket of one team at its keeper.
 
     Units that come back count as never granted, as far as the bucket would not have
     overflowed without their grant. So the units granted and not returned in any time
@@ -91,7 +91,7 @@
     bound : QuotaBound
         The limit to keep.
     rate_per_s, burst : float
-        The tenant's quota.
+        The team's quota.
     started_at : float
         Monotonic seconds at which the bucket was empty: the last moment at which a
         predecessor may have granted units; minus infinity if there was none.
@@ -165,7 +165,7 @@
     def is_settled(self, now: float) -> bool:
         """Return whether the bucket knows all that was granted in the last window.
 
-        Until then its being empty does not show that the tenant has used its quota.
+        Until then its being empty does not show that the team has used its quota.
         """
         return now - self._started_at >= self._bound.window_s
 
@@ -219,9 +219,9 @@
     serial: int = 0
 
 
-@PLUGINS.register("tenant_allowance", "ahead")
+@PLUGINS.register("team_allowance", "ahead")
 class Allowance:
-    """The units that one node holds for one tenant, and the tenant's demand there.
+    """The units that one node holds for one team, and the team's demand there.
 
     Parameters
     ----------
--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -693,7 +693,7 @@
     def configure(
         self,
         routes: dict[str, dict],
-        tenants: dict[str, dict] | None = None,
+        teams: dict[str, dict] | None = None,
         **limits: object,
     ) -> None:
         """Write a new version of the configuration to the store."""
@@ -704,7 +704,7 @@
             "version": f"r{self.config_version}",
             "routes": {name: defaults | route for name, route in routes.items()},
             "services": {},
-            "tenants": tenants or {},
+            "tenants": teams or {},
             "limits": {
                 "max_header_bytes": 16384,
                 "max_body_bytes": 1_000_000,
--- a/tests/test_mesh_lease.py
+++ b/tests/test_mesh_lease.py
@@ -279,7 +279,7 @@
     "read": {"prefix": "/read/", "service": "books"},
     "deep": {"prefix": "/deep/", "service": "books", "public": True},
 }
-TENANTS = {"acme": {"api_keys": ["k1"]}}
+TEAMS = {"acme": {"api_keys": ["k1"]}}
 
 
 async def get(site: Site, target: str, number: int = 0) -> tuple[int, bytes]:
@@ -294,7 +294,7 @@
 
     async def scenario(site: Site) -> None:
         site.revocation = RevocationSection(max_delay_s=3.0)
-        site.configure(ROUTES, TENANTS)
+        site.configure(ROUTES, TEAMS)
         await site.add_host("books")
         await site.wait_for_convergence()
         site.hosts[0].backend.downstream_targets = {"/deep/": ["/read/2"]}
@@ -328,7 +328,7 @@
 
     async def scenario(site: Site) -> None:
         site.revocation = RevocationSection(max_delay_s=2.5)
-        site.configure(ROUTES, TENANTS)
+        site.configure(ROUTES, TEAMS)
         await site.add_host("books")
         await site.wait_for_convergence()
         waiting = asyncio.create_task(get(site, "/read/1"))
--- a/tests/test_mesh_quotas.py
+++ b/tests/test_mesh_quotas.py
@@ -1,4 +1,4 @@
-"""Quotas of tenants on a mesh of three nodes in one process."""
+"""Quotas of teams on a mesh of three nodes in one process."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 from cassiahatch_node.mesh import quota_keepers
 from cassiahatch_node.mesh.settings import QuotaSection
-from cassiahatch_node.mesh.tenant_quotas import MAX_EXHAUSTED_S
+from cassiahatch_node.mesh.team_quotas import MAX_EXHAUSTED_S
 from cassiahatch_policies import quota_tenure
 from cassiahatch_policies.quota_tenure import find_position
 from mesh_site import Host, Message, Site, make_headers, send
@@ -32,8 +32,8 @@
 async def build_site(site: Site, **quota: float) -> None:
     """Add three nodes, of which the last two have backend servers of the service."""
     site.quotas = QuotaSection()
-    tenants = {"acme": {"api_keys": ["k"]} | quota}
-    site.configure(ROUTES, tenants)
+    teams = {"acme": {"api_keys": ["k"]} | quota}
+    site.configure(ROUTES, teams)
     for service in ("shop", "books", "books"):
         await site.add_host(service, slots=SLOTS)
     await site.wait_for_convergence()
@@ -63,7 +63,7 @@
 
 
 def find_keeper(site: Site) -> Host:
-    """Return the node that keeps the quota of the test's tenant."""
+    """Return the node that keeps the quota of the test's team."""
     position = find_position("acme")
     (keeper,) = (
         host
--- a/tests/test_mesh_tenants.py
+++ b/tests/test_mesh_teams.py
@@ -1,4 +1,4 @@
-"""Tenants: keys, ranks, and the tenant's name at the backend server."""
+"""Teams: keys, ranks, and the team's name at the backend server."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from cassiahatch_kernel.configurations import BadConfigurationError
 from cassiahatch_kernel.exchanges import Call, Reason, Rejection
 from cassiahatch_kernel.routes import RouteKind, RouteRule, WeightedService
-from cassiahatch_kernel.tenants import Tenant, TenantTable
+from cassiahatch_kernel.teams import Team, TeamTable
 from cassiahatch_platform.configurations import PlatformConfigurations
 from cassiahatch_policies.identification import (
     Identity,
@@ -17,12 +17,12 @@
 from mesh_site import Site, make_headers, send
 from test_mesh import run_scenario
 
-TENANTS = TenantTable(
+TEAMS = TeamTable(
     (
-        Tenant("acme", (b"k1", b"k2"), 0),
-        Tenant("bolt", (b"k3", b"shared")),
-        Tenant("cogs", (b"shared",)),
-        Tenant("dune", ()),
+        Team("acme", (b"k1", b"k2"), 0),
+        Team("bolt", (b"k3", b"shared")),
+        Team("cogs", (b"shared",)),
+        Team("dune", ()),
     )
 )
 
@@ -34,9 +34,9 @@
     )
 
 
-def make_call(tenant: str) -> Call:
+def make_call(team: str) -> Call:
     fields = ("r1", "read", "GET", "h", "/", b"", b"", "s", "i", 1, 1, 1, 1.5)
-    return Call(*fields, True, True, tenant=tenant)
+    return Call(*fields, True, True, team=team)
 
 
 UNKNOWN = Rejection(Reason.UNKNOWN_KEY)
@@ -56,45 +56,45 @@
 
 
 @pytest.mark.parametrize(("key", "is_public", "expected"), IDENTITIES)
-def test_request_without_a_tenant_s_key_is_not_served(
+def test_request_without_a_team_s_key_is_not_served(
     key: bytes, is_public: bool, expected: object
 ) -> None:
-    assert identify_request(TENANTS, make_rule(is_public), key) == expected
+    assert identify_request(TEAMS, make_rule(is_public), key) == expected
 
 
 @pytest.mark.parametrize("key", [b"", b"k1"])
-def test_keys_mean_nothing_without_tenants(key: bytes) -> None:
-    assert identify_request(TenantTable(), make_rule(), key) == Identity("", 2)
+def test_keys_mean_nothing_without_teams(key: bytes) -> None:
+    assert identify_request(TeamTable(), make_rule(), key) == Identity("", 2)
 
 
 CALLS = [
-    # tenant of the parent, None if the parent is unknown; whether the route is public;
-    # tenants; name of the tenant, None if the call is rejected
-    ("acme", False, TENANTS, "acme"),
-    ("", False, TENANTS, ""),
-    (None, True, TENANTS, ""),
-    (None, False, TENANTS, None),
-    (None, False, TenantTable(), ""),
+    # team of the parent, None if the parent is unknown; whether the route is public;
+    # teams; name of the team, None if the call is rejected
+    ("acme", False, TEAMS, "acme"),
+    ("", False, TEAMS, ""),
+    (None, True, TEAMS, ""),
+    (None, False, TEAMS, None),
+    (None, False, TeamTable(), ""),
 ]
 
 
-@pytest.mark.parametrize(("parent", "is_public", "tenants", "expected"), CALLS)
-def test_call_without_a_key_is_served_only_for_its_parent_s_tenant(
-    parent: str | None, is_public: bool, tenants: TenantTable, expected: str | None
+@pytest.mark.parametrize(("parent", "is_public", "teams", "expected"), CALLS)
+def test_call_without_a_key_is_served_only_for_its_parent_s_team(
+    parent: str | None, is_public: bool, teams: TeamTable, expected: str | None
 ) -> None:
     call = None if parent is None else make_call(parent)
-    match identify_call(tenants, make_rule(is_public), call):
-        case Identity(tenant=tenant):
-            assert tenant == expected
+    match identify_call(teams, make_rule(is_public), call):
+        case Identity(team=team):
+            assert team == expected
         case Rejection(reason=reason):
             assert (reason, expected) == (Reason.UNKNOWN_PARENT, None)
 
 
-def test_keys_do_not_appear_in_the_text_of_a_tenant() -> None:
-    assert "k1" not in repr(Tenant("acme", (b"k1",)))
+def test_keys_do_not_appear_in_the_text_of_a_team() -> None:
+    assert "k1" not in repr(Team("acme", (b"k1",)))
 
 
-BAD_TENANTS = [
+BAD_TEAMS = [
     b'{"a\\r\\nX: y":{}}',
     b'{"":{}}',
     b'{"a":{"rate_per_s":-1}}',
@@ -102,9 +102,9 @@
 ]
 
 
-@pytest.mark.parametrize("tenants", BAD_TENANTS)
-def test_tenants_that_can_not_be_sent_or_counted_are_not_taken(tenants: bytes) -> None:
-    value = b'{"version":"r1","routes":{},"tenants":%s}' % tenants
+@pytest.mark.parametrize("teams", BAD_TEAMS)
+def test_teams_that_can_not_be_sent_or_counted_are_not_taken(teams: bytes) -> None:
+    value = b'{"version":"r1","routes":{},"tenants":%s}' % teams
     with pytest.raises(BadConfigurationError):
         PlatformConfigurations().decode(value)
 
@@ -116,7 +116,7 @@
 }
 KEYS = {"acme": {"api_keys": ["k1"], "priority": 0}, "idle": {}}
 REQUESTS = [
-    # tenants; target; header lines; status; name of the tenant at the backend server
+    # teams; target; header lines; status; name of the team at the backend server
     (KEYS, "/read/1", "Api-Key: k1", 200, "acme"),
     (KEYS, "/read/1", "api-key:  k1 \r\nCassiahatch-Tenant-Id: idle", 200, "acme"),
     (KEYS, "/read/1", "Api-Key: k1\r\nApi-Key: k1", 401, None),
@@ -128,12 +128,12 @@
 ]
 
 
-@pytest.mark.parametrize(("tenants", "target", "lines", "status", "tenant"), REQUESTS)
-def test_backend_server_gets_the_tenant_and_never_the_key(
-    tenants: dict, target: str, lines: str, status: int, tenant: str | None
+@pytest.mark.parametrize(("teams", "target", "lines", "status", "team"), REQUESTS)
+def test_backend_server_gets_the_team_and_never_the_key(
+    teams: dict, target: str, lines: str, status: int, team: str | None
 ) -> None:
     async def scenario(site: Site) -> None:
-        site.configure(ROUTES, tenants)
+        site.configure(ROUTES, teams)
         for service in ("shop", "books"):
             await site.add_host(service)
         await site.wait_for_convergence()
@@ -146,8 +146,8 @@
         arrivals = [arrival.message.headers for arrival in backend.arrivals]
         assert len(arrivals) == (0 if status == 401 else 3 if "deep" in target else 1)
         for fields in arrivals:
-            assert fields.get("cassiahatch-tenant-id") == tenant
-            assert ("api-key" in fields) == (not tenants)
+            assert fields.get("cassiahatch-tenant-id") == team
+            assert ("api-key" in fields) == (not teams)
 
     run_scenario(scenario)
 
--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -1,4 +1,4 @@
-"""Quotas of tenants on a fleet in virtual time, with the nodes' real links."""
+"""Quotas of teams on a fleet in virtual time, with the nodes' real links."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 
 from cassiahatch_kernel.exchanges import Reason, Rejection
 from cassiahatch_kernel.ports import Committed, Conflict, Row
-from cassiahatch_kernel.tenants import Tenant, TenantTable
+from cassiahatch_kernel.teams import Team, TeamTable
 from cassiahatch_node.mesh.frames import QuotaRequestFrame, encode_frame
 from cassiahatch_node.mesh.link_out import PeerLink
 from cassiahatch_node.mesh.quota_keepers import KEEPER_TABLE
-from cassiahatch_node.mesh.quota_setup import make_tenant_quotas
+from cassiahatch_node.mesh.quota_setup import make_team_quotas
 from cassiahatch_node.mesh.settings import (
     MeshSettings,
     NodeSection,
@@ -69,11 +69,11 @@
         settings = MeshSettings(
             node=section, store=StoreSection(address=ADDRESS), quotas=QUOTAS
         )
-        self.quotas = make_tenant_quotas(
+        self.quotas = make_team_quotas(
             settings,
             WritableStoreClient(fleet.store, node_id),
             self.directory,
-            lambda: fleet.tenants,
+            lambda: fleet.teams,
             fleet.loop,
             random.Random(f"{fleet.seed} {node_id}"),
             Metrics(),
@@ -102,14 +102,14 @@
 
     node_type = QuotaNode
 
-    def __init__(self, loop: VirtualLoop, size: int, tenants: list[Tenant]) -> None:
-        self.tenants = TenantTable(tenants)
+    def __init__(self, loop: VirtualLoop, size: int, teams: list[Team]) -> None:
+        self.teams = TeamTable(teams)
         self.opened_at = loop.time()
         super().__init__(loop, {zone: size // 3 for zone in ("a", "b", "c")})
 
-    def find_keeper(self, tenant: str) -> QuotaNode:
-        """Return the node that keeps a tenant's quota."""
-        position = find_position(tenant)
+    def find_keeper(self, team: str) -> QuotaNode:
+        """Return the node that keeps a team's quota."""
+        position = find_position(team)
         return next(
             node
             for node in self.nodes.values()
@@ -119,16 +119,16 @@
 
 @dataclass(slots=True)
 class Traffic:
-    """Requests of one tenant, and what came of them."""
+    """Requests of one team, and what came of them."""
 
-    tenant: Tenant
+    team: Team
     rate_per_s: float
     runs: list[float] = field(default_factory=list)
     rejections: list[tuple[float, Reason]] = field(default_factory=list)
 
     async def send(self, fleet: QuotaFleet, seconds: float) -> None:
         """Send requests at random times through random live nodes."""
-        draws = random.Random(f"{fleet.seed} {self.tenant.name}")
+        draws = random.Random(f"{fleet.seed} {self.team.name}")
         ends_at = fleet.loop.time() + seconds
         async with asyncio.TaskGroup() as requests:
             while fleet.loop.time() < ends_at:
@@ -137,9 +137,9 @@
                 requests.create_task(self._send_one(fleet.loop, node))
 
     async def _send_one(self, loop: VirtualLoop, node: QuotaNode) -> None:
-        paid = node.quotas.try_admit(self.tenant.name)
+        paid = node.quotas.try_admit(self.team.name)
         if paid is False:
-            paid = await node.quotas.wait_for_unit(self.tenant.name)
+            paid = await node.quotas.wait_for_unit(self.team.name)
         if isinstance(paid, Rejection):
             self.rejections.append((loop.time(), paid.reason))
         else:
@@ -147,8 +147,8 @@
 
     def find_excess(self) -> float:
         """Return by how much the runs of the worst window pass the limit."""
-        tenant, worst, end = self.tenant, float("-inf"), 0
-        quota = tenant.rate_per_s * QUOTAS.window_s + tenant.burst
+        team, worst, end = self.team, float("-inf"), 0
+        quota = team.rate_per_s * QUOTAS.window_s + team.burst
         limit = quota * (1 + QUOTAS.overrun) + QUOTAS.slack
         runs = sorted(self.runs)
         for first, start in enumerate(runs):
@@ -221,14 +221,14 @@
 
 
 @pytest.mark.parametrize(("fault", "share", "outage_s"), FAULTS)
-def test_limits_hold_and_tenants_below_them_are_served(
+def test_limits_hold_and_teams_below_them_are_served(
     fault, share: float, outage_s: float
 ) -> None:
-    tenants = [Tenant(f"t{n}", (), None, 20.0, 20.0) for n in range(4)]
+    teams = [Team(f"t{n}", (), None, 20.0, 20.0) for n in range(4)]
 
     async def scenario(loop: VirtualLoop) -> None:
-        async with QuotaFleet(loop, 9, tenants) as fleet:
-            traffic = [Traffic(tenant, 20.0 * share) for tenant in tenants]
+        async with QuotaFleet(loop, 9, teams) as fleet:
+            traffic = [Traffic(team, 20.0 * share) for team in teams]
             async with asyncio.TaskGroup() as group:
                 for part in traffic:
                     group.create_task(part.send(fleet, SECONDS))
@@ -258,8 +258,8 @@
 
 def test_fleet_writes_two_rows_a_second_and_reads_none_in_calm() -> None:
     async def scenario(loop: VirtualLoop) -> None:
-        tenants = [Tenant("t0", (), None, 1.0)]
-        async with QuotaFleet(loop, 9, tenants) as fleet:
+        teams = [Team("t0", (), None, 1.0)]
+        async with QuotaFleet(loop, 9, teams) as fleet:
             before = fleet.store.version
             await asyncio.sleep(20.0)
             writes = fleet.store.version - before
--- a/tests/test_tenant_quota.py
+++ b/tests/test_team_quota.py
@@ -1,4 +1,4 @@
-"""Quotas of tenants: decision tables, and a seeded model of keepers and nodes.
+"""Quotas of teams: decision tables, and a seeded model of keepers and nodes.
 
 The model's oracle counts what all nodes spend in every window, while keepers are killed,
 paused, replaced and cut off from the store, limits change, and grants are late or lost.
@@ -26,13 +26,13 @@
     plan_renewal,
     rank_candidates,
 )
-from cassiahatch_policies.tenant_quota import (
+from cassiahatch_policies.team_quota import (
     GRANT_LIFE_S,
     Allowance,
     Grant,
     QuotaBound,
     Refill,
-    TenantBucket,
+    TeamBucket,
 )
 
 BOUND = QuotaBound(window_s=5.0, overrun=0.1, slack=20.0)
@@ -71,13 +71,13 @@
 def test_successor_grants_what_has_flowed_in_since_its_predecessor(
     since_s: float, units: int, is_settled: bool
 ) -> None:
-    bucket = TenantBucket(BOUND, 100.0, 50.0, 100.0 - since_s)
+    bucket = TeamBucket(BOUND, 100.0, 50.0, 100.0 - since_s)
     assert bucket.is_settled(100.0) is is_settled
     assert bucket.grant(1000, 100.0) == units
 
 
 def test_lowered_quota_applies_at_once_and_a_raised_one_adds_no_units() -> None:
-    bucket = TenantBucket(BOUND, 100.0, 50.0, NEVER)
+    bucket = TeamBucket(BOUND, 100.0, 50.0, NEVER)
     bucket.set_quota(10.0, 0.0, 100.0)
     assert bucket.grant(1000, 100.0) == 20
     bucket.set_quota(100.0, 50.0, 100.0)
@@ -100,7 +100,7 @@
 def test_returned_units_count_as_never_granted(
     first: int, second: int, pause_s: float, units: int
 ) -> None:
-    bucket = TenantBucket(BOUND, 100.0, 50.0, NEVER)
+    bucket = TeamBucket(BOUND, 100.0, 50.0, NEVER)
     assert bucket.grant(first, 100.0) == first
     serial, now = bucket.serial, 100.0 + pause_s
     granted = bucket.grant(second, now)
@@ -206,7 +206,7 @@
 
     claim: Claim
     version: int
-    bucket: TenantBucket
+    bucket: TeamBucket
 
 
 @dataclass(slots=True)
@@ -329,7 +329,7 @@
         if holding and claim.is_continued and holding.claim.row.number == number:
             holding.claim, holding.version = claim, self.version
         else:
-            bucket = TenantBucket(MODEL_BOUND, *node.quota, claim.started_at)
+            bucket = TeamBucket(MODEL_BOUND, *node.quota, claim.started_at)
             node.holding = ModelHolding(claim, self.version, bucket)
 
     def _find_keeper(self) -> ModelNode | None:
@@ -433,7 +433,7 @@
     return next(seeds, None)
 
 
-def test_no_window_of_a_tenant_exceeds_its_limit() -> None:
+def test_no_window_of_a_team_exceeds_its_limit() -> None:
     assert find_violation() is None
 
 
