Learn the concurrency limit of a server that states its pace

Cause: a backend server's limit was a fixed share of its announced slots, and its endpoints were compared by that share alone, whatever their speed. Change: LearnedLimit finds the limit of the highest throughput by trials, from the work time at the stated pace, and only while the work time is above its baseline. SlotQueue follows it; load reports carry the mean work time, by which placement weighs the endpoints that all report one. Runs that made calls, failed or started cold don't count. A server that states no pace is treated as before. Result: tests/test_mesh_server_limits.py (53 cases) passes, with test_mesh, test_mesh_limits, test_mesh_load, test_mesh_policies, test_mesh_frames and test_mesh_tenants.

--- a/packages/kernel/src/cassiahatch_kernel/exchanges.py
+++ b/packages/kernel/src/cassiahatch_kernel/exchanges.py
@@ -196,3 +196,6 @@
     leaving: tuple[int, str] | None = None
     """Start and identity of its process if that has said that it leaves, which it never
     takes back."""
+    work_ms: float = 0.0
+    """Mean work time of a request now, in milliseconds; 0 if the server states no pace
+    or makes calls in all its runs."""
--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -183,6 +183,7 @@
         is_caused_by_retry = self._ingress.was_caused_by_retry(request.parent)
         if parent is not None:
             root_target_at = parent.root_target_at
+            parent.has_calls = True
             self._graph.record_call(parent.call.route, rule.name)
         return RequestState(
             request,
--- a/packages/node/src/cassiahatch_node/mesh/http_messages.py
+++ b/packages/node/src/cassiahatch_node/mesh/http_messages.py
@@ -49,6 +49,28 @@
 """What a response says of the rate that its backend server takes."""
 
 
+class StatedLoad(msgspec.Struct, frozen=True):
+    """The backend server states its load."""
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float | None
+    """Time that work takes on its machine now, 100 being usual; None if not stated."""
+
+
+class NoLoad(msgspec.Struct, frozen=True):
+    """The backend server states no load."""
+
+
+class UnreadableLoad(msgspec.Struct, frozen=True):
+    """The backend server states a load that can't be read, which states nothing."""
+
+
+LoadStatement = StatedLoad | NoLoad | UnreadableLoad
+"""What a response says of the load of its backend server."""
+
+
 class ResponseMetadata(msgspec.Struct):
     """Metadata of a response, decoded from its headers by a dialect."""
 
@@ -67,3 +89,4 @@
     rate: RateStatement = NoRate()
     is_leaving: bool = False
     """Whether the backend server says that it leaves."""
+    stated_load: LoadStatement = NoLoad()
--- a/packages/node/src/cassiahatch_node/mesh/ingress.py
+++ b/packages/node/src/cassiahatch_node/mesh/ingress.py
@@ -29,6 +29,7 @@
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.own_backend import OwnBackend
 from cassiahatch_node.mesh.retry_limiter import RetryLimiter
+from cassiahatch_node.mesh.server_limit import ServerLimit
 from cassiahatch_node.mesh.spans import Hop, Spans
 from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_policies.slot_queue import Job
@@ -45,6 +46,7 @@
 """Interval at which expired calls are removed while the queue is not empty."""
 IDLE_SWEEP_INTERVAL_S = 0.1
 """Interval of the updates of the cutoff and checks of idle connections otherwise."""
+MIN_FAILURE_STATUS = 500
 OVERDUE_S = 0.25
 """Time that a run may exceed its deadline before it is aborted, since the backend
 server may already have sent its own deadline response."""
@@ -66,6 +68,10 @@
     """Deadline in monotonic seconds, after which an answer is useless to the caller."""
     is_overdue: bool = False
     """Whether the run was aborted ``OVERDUE_S`` after its deadline."""
+    has_calls: bool = False
+    """Whether the run has made calls of its own, for which it waited."""
+    pace: float | None = None
+    """Pace that the answer states; None if it states none."""
 
 
 class Ingress:
@@ -84,6 +90,8 @@
         Rejects calls that exceed the retry budget.
     create_backend_client : callable
         Creates the client through which a worker reaches the backend server.
+    server_limit : ServerLimit
+        Learns how many calls the backend server takes well.
     rate_limit : TokenBucket
         The plug-in that spaces out the calls at the rate that the backend server names.
     probe : callable
@@ -100,6 +108,7 @@
         cutoff: Any,
         retry_limiter: RetryLimiter,
         create_backend_client: Callable[[], BackendClient],
+        server_limit: ServerLimit,
         rate_limit: Any,
         probe: Callable[[], Awaitable[ProbeResult]],
         crashes: CrashWatch,
@@ -113,6 +122,7 @@
         self._cutoff = cutoff
         self._retry_limiter = retry_limiter
         self._create_backend_client = create_backend_client
+        self._server_limit = server_limit
         self._rate_limit = rate_limit
         self._dispatch_timer: asyncio.TimerHandle | None = None
         """Dispatches the next call once the rate limit admits one."""
@@ -146,6 +156,7 @@
             self._backend.accepts,
             self._retry_limiter.use,
             self._backend.leaving_process,
+            self._server_limit.work_ms,
         )
 
     @property
@@ -244,6 +255,7 @@
             for _, backend_client in self._idle:
                 backend_client.close_if_idle(now)
             self._abort_overdue(now)
+            self._server_limit.show()
 
     async def watch(self) -> None:
         """Probe a busy backend server that sends no replies, until cancelled."""
@@ -307,6 +319,10 @@
                 self._metrics.count("unreadable_rates")
                 if not self._rate_limit.is_known:
                     self._set_rate(None)
+        pace = self._server_limit.record_statement(metadata.stated_load, call.instance)
+        arrival = self.running.get(call.id)
+        if arrival is not None:
+            arrival.pace = pace
         if metadata.is_leaving and not self._backend.is_leaving:
             self.on_leaving()
 
@@ -404,6 +420,7 @@
             now = self._clock.monotonic()
             self._retry_limiter.record_end(arrival.call)
             self._queue.finish(job, now, isinstance(result, Reply))
+        self._record_work(job, result, now)
         self._metrics.sample("backend", now - job.started_at)
         self._metrics.sample("queue", job.started_at - job.queued_at)
         if self._spans.is_sampled(arrival.call.position):
@@ -457,6 +474,22 @@
                     withdrawn=arrival.is_withdrawn,
                 )
 
+    def _record_work(self, job: Job, result: Result, now: float) -> None:
+        """Count a run of which only the backend server's own work took the time.
+
+        One that waited for its own calls shows how busy other services are, a failed
+        one may have ended early, and a cold process is slow at any concurrency.
+        """
+        arrival: Arrival = job.payload
+        if (
+            arrival.pace is not None
+            and not arrival.has_calls
+            and job.started_at >= self._backend.cold_until
+            and isinstance(result, Reply)
+            and result.status < MIN_FAILURE_STATUS
+        ):
+            self._server_limit.record_run(job, arrival.pace, now)
+
     def record_undelivered(self, request_id: str, reason: str, **fields: Any) -> None:
         """Log and count a reply of the backend server that its caller does not get."""
         self._metrics.count(f"undelivered_answers:{reason}")
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -38,6 +38,7 @@
 from cassiahatch_node.mesh.registration import Registration
 from cassiahatch_node.mesh.response_limits import ResponseLimits
 from cassiahatch_node.mesh.retry_limiter import RetryLimiter
+from cassiahatch_node.mesh.server_limit import ServerLimit
 from cassiahatch_node.mesh.settings import MeshSettings, split_address
 from cassiahatch_node.mesh.settings_watch import SettingsWatch
 from cassiahatch_node.mesh.spans import Spans
@@ -136,10 +137,12 @@
         )
         self.crashes = crashes
         self._arrivals = ArrivalLog(self.metrics, self.journal)
+        limit = PLUGINS.create("concurrency_limit", plugins.concurrency_limit)
+        queue = PLUGINS.create("queue", plugins.queue, 1, limit)
         self.ingress = Ingress(
             clock,
             self.backend,
-            PLUGINS.create("queue", plugins.queue, 1),
+            queue,
             cutoff,
             RetryLimiter(
                 clock, budget, self.graph.compute_downstream_retry_use, self._arrivals
@@ -152,6 +155,7 @@
                 self.response_limits,
                 self.ingress.record_answer,
             ),
+            ServerLimit(queue, limit, clock, self.metrics, self.journal),
             PLUGINS.create("rate_limit", plugins.rate_limit),
             lambda: probe_backend(backend_host, backend_port),
             crashes,
--- a/packages/node/src/cassiahatch_node/mesh/settings.py
+++ b/packages/node/src/cassiahatch_node/mesh/settings.py
@@ -129,6 +129,7 @@
     placement: str = "zone-wait"
     retry_budget: str = "arrivals"
     rate_limit: str = "token-bucket"
+    concurrency_limit: str = "throughput"
     quarantine: str = "two-crashes"
     stop_admission: str = "deadline"
 
--- a/packages/node/src/cassiahatch_node/observability/metrics.py
+++ b/packages/node/src/cassiahatch_node/observability/metrics.py
@@ -1,4 +1,4 @@
-"""Counters and latency histograms of a process."""
+"""Counters, gauges and latency histograms of a process."""
 
 from __future__ import annotations
 
@@ -20,19 +20,24 @@
 
 
 class Metrics:
-    """Counters and latency histograms, by name."""
+    """Counters, gauges and latency histograms, by name."""
 
-    __slots__ = ("_samples", "counters", "histograms")
+    __slots__ = ("_samples", "counters", "gauges", "histograms")
 
     def __init__(self) -> None:
         self._samples = 0
         self.counters: Counter[str] = Counter()
+        self.gauges: dict[str, float] = {}
         self.histograms: dict[str, HdrHistogram] = {}
 
     def count(self, name: str, amount: int = 1) -> None:
         """Increment a counter."""
         self.counters[name] += amount
 
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a gauge, a value that may also fall."""
+        self.gauges[name] = value
+
     def sample(self, name: str, seconds: float) -> None:
         """Record one latency in ``SAMPLE_INTERVAL``; for latencies of every call."""
         self._samples += 1
@@ -54,6 +59,10 @@
             family, _, code = name.partition(":")
             label = f'{{code="{code}"}}' if code else ""
             lines.append(f"cassiahatch_{family}_total{label} {value}")
+        for name, value in sorted(self.gauges.items()):
+            family, _, code = name.partition(":")
+            label = f'{{code="{code}"}}' if code else ""
+            lines.append(f"cassiahatch_{family}{label} {value:g}")
         for name, histogram in sorted(self.histograms.items()):
             metric = f"cassiahatch_{name}_seconds"
             for quantile in QUANTILES:
--- /dev/null
+++ b/packages/policies/src/cassiahatch_policies/learned_limit.py
@@ -0,0 +1,426 @@
+"""Learned concurrency limit of one backend server that states its pace.
+
+The load it handles: servers of one service that differ in speed, of which some slow down
+long before all their slots are in use, at hundreds of runs a second each. Which number of
+concurrent runs gives the highest throughput follows from the work time against the
+concurrency: in a saturated server, throughput is concurrency divided by work time.
+
+A work time that rises with the concurrency can't be told from one that rises by itself
+by looking at it. So every change of the limit is first a trial: the server runs under
+another limit until enough runs have ended there, and the limit that gave the higher
+throughput is kept. Nothing is tried as long as the work time stays near its baseline.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from cassiahatch_kernel.registry import PLUGINS
+
+USUAL_PACE = 100.0
+MIN_PACE, MAX_PACE = 10.0, 2000.0
+"""Bounds of a plausible pace: ten times as fast as usual, and twenty times as slow. A
+run with another pace is not counted."""
+MIN_LIMIT_SHARE = 0.4
+"""Least limit, as a share of the limit without learning: no measurement may leave a
+server idle."""
+LOW_SHARE = 0.5
+"""Share of the largest limit up to which a run counts towards the baseline."""
+SATURATED_SHARE = 0.9
+"""Share of the limit from which a run shows how the server works at the limit."""
+TAIL_FACTOR = 3.0
+"""Multiple of the mean at which a work time is clipped: one run in a hundred takes five
+times the mean, which would widen the spread of the means."""
+TRIAL_RUNS = 200
+"""Runs that decide a trial. With a spread of 0.6 the ratio of two such means has a
+standard error of 6 %."""
+SETTLING_RUNS = 3.0
+"""Multiple of the mean work time after a change of the limit from which runs count.
+Among those that end earlier, the short ones are too many."""
+MIN_TRIAL_RUNS = 60
+"""Runs that decide a trial which took ``TRIAL_TIMEOUT_S``."""
+TRIAL_TIMEOUT_S = 1.0
+MIN_BASELINE_RUNS = 50
+MEMORY_RUNS = 400
+"""Runs over which the work time at a limit and the baseline are averaged."""
+SPEED_MEMORY_RUNS = 60
+"""Runs over which the reported work time is averaged: a tenth of a second of a busy
+server."""
+SLOWER_FACTOR = 1.2
+"""Multiple of the baseline from which a lower limit is tried, above the noise of the
+means and below the slowdown of 1.3 of known servers."""
+EXPLORING_FACTOR = 0.8
+"""Factor of the limit in the trial of a server that has never run below saturation."""
+MIN_DECREASE_FACTOR = 0.6
+"""Least factor of the limit in one trial."""
+KEPT_SHARE = 0.95
+"""Share of the throughput that a lower limit must keep. One that only takes slots away
+keeps at most ``EXPLORING_FACTOR`` of it."""
+SEARCH_STEP = 0.1
+"""Step of the limit, as a share, below which the search for the knee ends. Smaller
+steps are lost in the noise."""
+SEARCH_PAUSE_S = 0.1
+"""Pause between two trials of a search, in which the reference is measured again."""
+FIRST_RETRY_S = 0.5
+MAX_RETRY_S = 8.0
+"""Bounds of the time until a limit that was found worse is tried again, doubled with
+each trial that finds it worse. The first one lets a server that recovers after a short
+slowdown have its slots back within 2 s."""
+UNREACHED_S = 0.5
+"""Time in which a lowered limit is to be reached. One that isn't has no use, and would
+take the server's share of the load."""
+STATEMENT_TTL_S = 2.0
+"""Time after the last stated pace at which the limit is no longer learned."""
+MS_PER_S = 1000
+
+
+class LimitReason(StrEnum):
+    """Why the limit is what it is, as shown in logs and metrics."""
+
+    NO_PACE = "no_pace"
+    """The server states no pace, so nothing is learned."""
+    NO_SLOWDOWN = "no_slowdown"
+    """No lower limit has been found better."""
+    SLOW_AT_ANY_LIMIT = "slow_at_any_limit"
+    """The server is slower than before, and a lower limit does not help."""
+    SLOWER_ABOVE = "slower_above"
+    """Above the limit, the throughput is no higher."""
+    TRIAL = "trial"
+    """Another limit is being tried."""
+
+
+@dataclass(slots=True, frozen=True)
+class LimitExplanation:
+    """The limit and what it follows from."""
+
+    limit: int
+    max_limit: int
+    """Limit without learning, from the announced slots."""
+    baseline_ms: float
+    """Work time at low concurrency and usual pace; 0 if unknown."""
+    work_ms: float
+    """Work time now; 0 if unknown."""
+    reason: LimitReason
+
+
+@dataclass(slots=True)
+class WorkMean:
+    """Moving average of work times, over all runs at first."""
+
+    max_runs: int
+    runs: int = 0
+    seconds: float = 0.0
+    concurrency: float = 0.0
+    """Mean number of concurrent runs, where it is of interest."""
+
+    def add(self, work_s: float, concurrency: int = 0) -> None:
+        """Count one run."""
+        if self.runs < self.max_runs:
+            self.runs += 1
+        self.seconds += (work_s - self.seconds) / self.runs
+        self.concurrency += (concurrency - self.concurrency) / self.runs
+
+    @property
+    def throughput(self) -> float:
+        """Runs a second that a server with these concurrent runs completes."""
+        return self.concurrency / self.seconds
+
+
+@dataclass(slots=True)
+class Holding:
+    """The limit is kept, and the work time at the limit is measured."""
+
+    retry_at: float
+    """Monotonic seconds from which another limit may be tried."""
+    counted_from: float = float("-inf")
+    """Monotonic seconds from which the runs that end have begun under the limit."""
+    work: WorkMean = field(default_factory=lambda: WorkMean(MEMORY_RUNS))
+
+
+@dataclass(slots=True)
+class Trial:
+    """Another limit is tried."""
+
+    limit: int
+    reference: WorkMean
+    """Work time at the limit that was held."""
+    counted_from: float
+    """Monotonic seconds from which the runs that end have begun under the limit."""
+    work: WorkMean = field(default_factory=lambda: WorkMean(TRIAL_RUNS))
+
+
+@PLUGINS.register("concurrency_limit", "throughput")
+class LearnedLimit:
+    """Learns how many concurrent runs give one backend server its highest throughput.
+
+    It is inactive, and its limit the largest one, until ``observe`` is called.
+    """
+
+    __slots__ = (
+        "_baseline",
+        "_ceiling",
+        "_is_searching",
+        "_last_pace",
+        "_limit",
+        "_max_limit",
+        "_measured",
+        "_min_limit",
+        "_observed_at",
+        "_phase",
+        "_reason",
+        "_retry_s",
+        "_target",
+        "_usual",
+    )
+
+    def __init__(self, max_limit: int = 1) -> None:
+        self.resize(max_limit)
+
+    def resize(self, max_limit: int) -> None:
+        """Set the limit without learning, and forget what was learned."""
+        self._max_limit = max_limit
+        self._min_limit = max(1, int(max_limit * MIN_LIMIT_SHARE))
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget what was learned: another process runs, or it states no pace."""
+        self._limit = self._ceiling = self._target = self._max_limit
+        self._is_searching = False
+        """Whether the knee is still being searched between the limit and the ceiling."""
+        self._retry_s = FIRST_RETRY_S
+        self._phase: Holding | Trial = Holding(float("-inf"))
+        self._baseline = WorkMean(MEMORY_RUNS)
+        self._usual = WorkMean(MEMORY_RUNS)
+        """Work time at the usual pace, whatever the concurrency."""
+        self._measured = WorkMean(SPEED_MEMORY_RUNS)
+        """Work time as measured, with the pace of the moment."""
+        self._last_pace = USUAL_PACE
+        self._observed_at = float("-inf")
+        self._reason = LimitReason.NO_PACE
+
+    @property
+    def is_active(self) -> bool:
+        """Whether the server states its pace."""
+        return self._reason is not LimitReason.NO_PACE
+
+    @property
+    def pace(self) -> float:
+        """The last stated pace."""
+        return self._last_pace
+
+    @property
+    def limit(self) -> int:
+        """Number of requests that may run concurrently now."""
+        match self._phase:
+            case Trial(limit=limit):
+                return limit
+            case Holding():
+                return self._limit
+
+    @property
+    def work_s(self) -> float:
+        """Mean work time in seconds at the stated pace; 0 if unknown.
+
+        It is no shorter than measured, so that a wrong statement can only lower the
+        server's own share of the load.
+        """
+        if self._usual.runs < MIN_BASELINE_RUNS:
+            return 0.0
+        stated_s = self._usual.seconds * self._last_pace / USUAL_PACE
+        return max(stated_s, self._measured.seconds)
+
+    def explain(self) -> LimitExplanation:
+        """Return the limit with what it follows from."""
+        is_trial = isinstance(self._phase, Trial)
+        return LimitExplanation(
+            self.limit,
+            self._max_limit,
+            self._baseline.seconds * MS_PER_S,
+            self.work_s * MS_PER_S,
+            LimitReason.TRIAL if is_trial else self._reason,
+        )
+
+    def expire(self, now: float) -> None:
+        """Forget what was learned if the server has stated no pace for a while."""
+        if self.is_active and now - self._observed_at > STATEMENT_TTL_S:
+            self.reset()
+
+    def observe(
+        self,
+        concurrency: int,
+        work_s: float,
+        pace: float,
+        now: float,
+        started_pace: float | None = None,
+    ) -> None:
+        """Count a run that has ended and has made no calls of its own.
+
+        Parameters
+        ----------
+        concurrency : int
+            Number of concurrent runs as it started, with itself.
+        work_s : float
+            Time in seconds that it took.
+        pace : float
+            Stated time that work takes as the run ends, 100 being usual.
+        now : float
+            Monotonic seconds.
+        started_pace : float, optional
+            The ``pace`` of this object as the run started. Work under a pace that
+            changes takes about as long as under the mean of the two.
+        """
+        if not MIN_PACE <= pace <= MAX_PACE or work_s <= 0.0:
+            return
+        if not self.is_active:
+            self._reason = LimitReason.NO_SLOWDOWN
+        self._observed_at = now
+        self._last_pace = pace
+        mean_pace = pace if started_pace is None else (started_pace + pace) / 2
+        usual_s = self._count(work_s, mean_pace)
+        if concurrency <= LOW_SHARE * self._max_limit:
+            self._baseline.add(usual_s)
+        phase = self._phase
+        limit = self.limit
+        if now >= phase.counted_from and (
+            SATURATED_SHARE * limit <= concurrency <= limit
+        ):
+            phase.work.add(usual_s, concurrency)
+        match phase:
+            case Holding(retry_at=retry_at):
+                if now >= retry_at:
+                    self._begin_trial(phase, now)
+            case Trial(counted_from=counted_from, work=work):
+                if work.runs >= TRIAL_RUNS:
+                    self._end_trial(phase, now)
+                elif now - counted_from > TRIAL_TIMEOUT_S:
+                    self._end_overdue_trial(phase, now)
+
+    def _count(self, work_s: float, pace: float) -> float:
+        """Update the mean work times, and return the clipped one at the usual pace."""
+        usual_s = work_s * USUAL_PACE / pace
+        if self._usual.runs >= MIN_BASELINE_RUNS:
+            usual_s = min(usual_s, TAIL_FACTOR * self._usual.seconds)
+            work_s = min(work_s, TAIL_FACTOR * self._measured.seconds)
+        self._usual.add(usual_s)
+        self._measured.add(work_s)
+        return usual_s
+
+    def _begin_trial(self, holding: Holding, now: float) -> None:
+        """Try another limit if there is a reason to."""
+        work = holding.work
+        if work.runs >= TRIAL_RUNS and self._limit > self._min_limit:
+            factor = self._find_decrease_factor(work.seconds)
+            if factor < 1.0:
+                limit = max(self._min_limit, int(self._limit * factor))
+                self._phase = Trial(limit, work, self._compute_settled_at(now))
+                return
+        if self._limit == self._max_limit:
+            return
+        if work.runs >= MIN_TRIAL_RUNS:
+            self._phase = Trial(self._target, work, self._compute_settled_at(now))
+        elif now - holding.retry_at > UNREACHED_S:
+            self._raise(self._max_limit, now)
+
+    def _find_decrease_factor(self, work_s: float) -> float:
+        """Return the factor of the limit to try; 1 if there is no reason to lower it."""
+        baseline = self._baseline
+        if baseline.runs < MIN_BASELINE_RUNS:
+            return EXPLORING_FACTOR
+        if work_s <= baseline.seconds:
+            baseline.add(work_s)
+            if self._limit == self._max_limit:
+                self._reason = LimitReason.NO_SLOWDOWN
+        if work_s <= SLOWER_FACTOR * baseline.seconds:
+            return 1.0
+        return max(MIN_DECREASE_FACTOR, baseline.seconds / work_s)
+
+    def _end_trial(self, trial: Trial, now: float) -> None:
+        """Keep the limit that gave the higher throughput.
+
+        Of two that give the same, the lower one is kept: the calls wait as long, and
+        more of them can still be put in order. A higher one must bring more than half of
+        what its slots could, so that noise brings no change.
+        """
+        tried, held = trial.work.throughput, trial.reference.throughput
+        if trial.limit < self._limit:
+            if tried >= KEPT_SHARE * held:
+                self._lower(trial.limit, now)
+            else:
+                self._reject_lower(trial, now)
+        elif tried >= held * math.sqrt(trial.limit / trial.reference.concurrency):
+            self._raise(trial.limit, now)
+        else:
+            self._reject_higher(trial.limit, now)
+
+    def _end_overdue_trial(self, trial: Trial, now: float) -> None:
+        """End a trial in which the server was hardly ever saturated.
+
+        A limit that is not reached does no harm, and a low one would take the server's
+        share of the load.
+        """
+        if trial.work.runs >= MIN_TRIAL_RUNS:
+            self._end_trial(trial, now)
+        elif trial.limit > self._limit:
+            self._raise(trial.limit, now)
+        else:
+            self._hold(now, self._back_off(now))
+
+    def _lower(self, limit: int, now: float) -> None:
+        """Keep a lower limit, and search for the knee between it and the last one."""
+        self._ceiling = self._target = self._limit
+        self._limit = limit
+        self._is_searching = True
+        self._retry_s = FIRST_RETRY_S
+        self._reason = LimitReason.SLOWER_ABOVE
+        self._hold(now, now + SEARCH_PAUSE_S)
+
+    def _reject_lower(self, trial: Trial, now: float) -> None:
+        """Take the work time for that of all limits, since a lower one is no better."""
+        was_known = self._baseline.runs >= MIN_BASELINE_RUNS
+        is_slow = trial.work.seconds > SLOWER_FACTOR * self._baseline.seconds
+        if was_known and is_slow:
+            self._reason = LimitReason.SLOW_AT_ANY_LIMIT
+        self._baseline = WorkMean(MEMORY_RUNS, TRIAL_RUNS, trial.work.seconds)
+        self._hold(now, self._back_off(now))
+
+    def _raise(self, limit: int, now: float) -> None:
+        self._limit = limit
+        self._retry_s = FIRST_RETRY_S
+        if limit >= self._max_limit:
+            self._is_searching = False
+            self._reason = LimitReason.NO_SLOWDOWN
+        self._choose_target()
+        self._hold(now, self._choose_retry_at(now))
+
+    def _reject_higher(self, limit: int, now: float) -> None:
+        self._ceiling = limit
+        if self._is_searching:
+            self._choose_target()
+        else:
+            is_step = self._target < self._max_limit
+            step = max(self._limit + 1, int((1 + SEARCH_STEP) * self._limit))
+            self._target = self._max_limit if is_step else min(step, self._max_limit)
+        self._hold(now, self._choose_retry_at(now))
+
+    def _choose_target(self) -> None:
+        """Choose the next higher limit to try: halfway to one known to be no better."""
+        halfway = (self._limit + self._ceiling) // 2
+        if halfway < (1 + SEARCH_STEP) * self._limit:
+            self._is_searching = False
+        self._target = halfway if self._is_searching else self._max_limit
+
+    def _choose_retry_at(self, now: float) -> float:
+        return now + SEARCH_PAUSE_S if self._is_searching else self._back_off(now)
+
+    def _back_off(self, now: float) -> float:
+        retry_at = now + self._retry_s
+        self._retry_s = min(MAX_RETRY_S, 2 * self._retry_s)
+        return retry_at
+
+    def _hold(self, now: float, retry_at: float) -> None:
+        self._phase = Holding(retry_at, self._compute_settled_at(now))
+
+    def _compute_settled_at(self, now: float) -> float:
+        return now + SETTLING_RUNS * self._measured.seconds
--- a/packages/policies/src/cassiahatch_policies/placement.py
+++ b/packages/policies/src/cassiahatch_policies/placement.py
@@ -116,6 +116,8 @@
         excess = busy - limit + 1
         if excess <= 0:
             return 0.0
+        if self.load.work_ms:
+            return max(wait_ms, excess * self.load.work_ms / limit)
         per_request_ms = wait_ms / (self.load.waiting + 1) if wait_ms else 1.0
         return max(wait_ms, excess * per_request_ms)
 
@@ -128,6 +130,19 @@
             busy = max(busy, reported)
         return busy / limit
 
+    def get_work_ms(self, now: float) -> float:
+        """Return the mean work time of a request; 0 if no recent report says it."""
+        return self.load.work_ms if now - self.reported_at <= REPORT_TTL_S else 0.0
+
+    def compute_cost(self, work_ms: float, now: float) -> float:
+        """Return the work time times the share of its slots in use after a request.
+
+        Of servers at equal cost, one that is twice as fast runs twice as many requests
+        at a time. An idle one still has a cost, so that the fastest idle one is chosen.
+        """
+        limit = self.load.limit or self.slots or 1
+        return work_ms * (self.compute_utilization(now) + 1 / limit)
+
 
 def is_outlier(endpoint: Endpoint, endpoints: Iterable[Endpoint]) -> bool:
     """Return whether a backend server fails clearly more often than others do."""
@@ -195,19 +210,25 @@
             lowest_rate = min(e.failure_rate for e in eligible)
             eligible = [e for e in eligible if not _fails_more(e, lowest_rate)]
         penalty_ms = max(MIN_ZONE_PENALTY_MS, ZONE_PENALTY_SHARE * time_to_target_ms)
+        has_work = all(endpoint.get_work_ms(now) for endpoint in eligible)
         return min(
-            eligible, key=lambda endpoint: self._compute_cost(endpoint, penalty_ms, now)
+            eligible,
+            key=lambda endpoint: self._compute_cost(
+                endpoint, penalty_ms, now, has_work
+            ),
         )
 
     def _find_local_without_wait(
         self, endpoints: Iterable[Endpoint], excluded: set[str], now: float
     ) -> Endpoint | None:
-        """Return the least utilized endpoint of the own zone that has no expected wait.
+        """Return the best endpoint of the own zone that has no expected wait.
 
-        Returns None if there is none. Nearly every request finds one, so that the other
-        zones need not be searched.
+        That is the one of the lowest cost if all of them report their work time, and
+        else the least utilized one. Returns None if there is none. Nearly every request
+        finds one, so that the other zones need not be searched.
         """
         best, lowest = None, float("inf")
+        cheapest, lowest_cost = None, float("inf")
         for endpoint in endpoints:
             if (
                 endpoint.zone == self._zone
@@ -223,12 +244,20 @@
                     utilization == lowest and self._random.random() < 0.5
                 ):
                     best, lowest = endpoint, utilization
-        return best
+                work_ms = endpoint.get_work_ms(now)
+                cost = endpoint.compute_cost(work_ms, now) if work_ms else 0.0
+                if cost < lowest_cost:
+                    cheapest, lowest_cost = endpoint, cost
+        return cheapest if lowest_cost > 0.0 else best
 
     def _compute_cost(
-        self, endpoint: Endpoint, penalty_ms: float, now: float
+        self, endpoint: Endpoint, penalty_ms: float, now: float, has_work: bool
     ) -> tuple[float, float, float]:
         wait_ms = endpoint.estimate_wait_ms(now)
         if endpoint.zone != self._zone:
             wait_ms += penalty_ms
-        return wait_ms, endpoint.compute_utilization(now), self._random.random()
+        if has_work:
+            cost = endpoint.compute_cost(endpoint.get_work_ms(now), now)
+        else:
+            cost = endpoint.compute_utilization(now)
+        return wait_ms, cost, self._random.random()
--- a/packages/policies/src/cassiahatch_policies/slot_queue.py
+++ b/packages/policies/src/cassiahatch_policies/slot_queue.py
@@ -55,6 +55,10 @@
     """Monotonic seconds at which the latency target of its root request passes."""
     queued_at: float = 0.0
     started_at: float = 0.0
+    concurrency: int = 0
+    """Number of running jobs as it started, with itself."""
+    started_pace: float | None = None
+    """Pace that the backend server had stated when it started; None if unknown."""
     is_withdrawn: bool = False
 
 
@@ -76,10 +80,13 @@
     ----------
     slots : int
         Number of requests that the backend server runs at once, as it announces.
+    concurrency_limit : LearnedLimit, optional
+        The plug-in that learns how many of its slots are of use; by default none.
     """
 
     __slots__ = (
         "_answer_count",
+        "_concurrency_limit",
         "_heap",
         "_mean_service_s",
         "_sequence",
@@ -88,7 +95,8 @@
         "waiting",
     )
 
-    def __init__(self, slots: int) -> None:
+    def __init__(self, slots: int, concurrency_limit: Any = None) -> None:
+        self._concurrency_limit = concurrency_limit
         self.limit = 1
         self.running = 0
         self.waiting = 0
@@ -101,6 +109,26 @@
     def resize(self, slots: int) -> None:
         """Set the number of requests that the backend server runs at once."""
         self.limit = max(1, int(slots * MAX_UTILIZATION))
+        if self._concurrency_limit is not None:
+            self._concurrency_limit.resize(self.limit)
+
+    def follow_limit(self) -> None:
+        """Use the learned limit, after it may have changed."""
+        self.limit = self._concurrency_limit.limit
+
+    def observe(self, job: Job, pace: float, now: float) -> None:
+        """Let a finished job that has made no calls of its own count for the limit.
+
+        Parameters
+        ----------
+        pace : float
+            Pace that its answer states.
+        """
+        work_s = now - job.started_at
+        self._concurrency_limit.observe(
+            job.concurrency, work_s, pace, now, job.started_pace
+        )
+        self.follow_limit()
 
     def compute_concurrency(self, rate_per_s: float | None) -> int:
         """Return the number of jobs that run at once if at most a rate is started.
@@ -161,6 +189,9 @@
                 continue
             job.started_at = now
             self.running += 1
+            job.concurrency = self.running
+            if self._concurrency_limit is not None:
+                job.started_pace = self._concurrency_limit.pace
             return job, expired
         return None, expired
 
--- a/tests/mesh_site.py
+++ b/tests/mesh_site.py
@@ -346,6 +346,8 @@
         """Returns the body of the answer to a request, by its id."""
         self.answer_headers = ""
         """Header lines that it adds to each answer."""
+        self.stated_pace = ""
+        """Fourth figure of the load that it states, behind a comma; empty for none."""
         self._writers: set[asyncio.StreamWriter] = set()
         self._refusals: dict[asyncio.StreamWriter, bytes] = {}
         """Last refusal sent on each connection."""
@@ -552,7 +554,7 @@
             text += f"Cassiahatch-Server-Stamp: {STAMP}\r\n"
         if framed:
             text += f"Content-Length: {len(body)}\r\n"
-        text += f"Cassiahatch-Server-Load: 0,0,{self.slots}\r\n"
+        text += f"Cassiahatch-Server-Load: 0,0,{self.slots}{self.stated_pace}\r\n"
         text += f"{self.answer_headers}{extra_headers}\r\n"
         return text.encode() + body
 
--- /dev/null
+++ b/tests/test_mesh_server_limits.py
@@ -0,0 +1,277 @@
+"""The learned limit of a backend server, and the shares of fast and slow servers."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pytest
+
+from cassiahatch_kernel.exchanges import Load
+from cassiahatch_node.mesh.http_messages import (
+    LoadStatement,
+    NoLoad,
+    RawResponse,
+    StatedLoad,
+    UnreadableLoad,
+)
+from cassiahatch_platform.dialect import PlatformDialect
+from cassiahatch_policies.learned_limit import MIN_BASELINE_RUNS, LearnedLimit
+from cassiahatch_policies.placement import Endpoint, ZoneWaitPlacement
+from cassiahatch_policies.slot_queue import Job, SlotQueue
+from mesh_site import Site, make_headers, send
+from test_mesh import ROUTES, run_scenario
+
+SLOTS = 79
+MAX_LIMIT = 75
+WORK_S = 0.05
+SPREAD = 0.5
+TAIL_SHARE, TAIL_FACTOR = 0.01, 5.0
+MIN_SHARE = 0.85
+"""Share of the runs that must end under an expected limit: the rest is left for trials."""
+
+
+def compute_flat(concurrency: int, now: float) -> float:
+    return 1.0
+
+
+def compute_slots_knee(concurrency: int, now: float) -> float:
+    return 1.3 if concurrency > 0.95 * SLOTS else 1.0
+
+
+def compute_saturated(concurrency: int, now: float) -> float:
+    """Work takes longer in proportion to the concurrency above 48."""
+    return max(1.0, concurrency / 48)
+
+
+def compute_thrashing(concurrency: int, now: float) -> float:
+    """Above 48, each further run costs more than it does."""
+    return max(1.0, (concurrency / 48) ** 2)
+
+
+def compute_neighbour(concurrency: int, now: float) -> float:
+    return 2.5 if 10.0 <= now < 10.6 else 1.0
+
+
+def compute_passing_knee(concurrency: int, now: float) -> float:
+    return compute_thrashing(concurrency, now) if 10.0 <= now < 10.6 else 1.0
+
+
+def state_usual(concurrency: int, now: float) -> float:
+    return 100.0
+
+
+def state_neighbour(concurrency: int, now: float) -> float:
+    return 100.0 * compute_neighbour(concurrency, now)
+
+
+def state_wildly(concurrency: int, now: float) -> float:
+    return (10.0, 2000.0, 100.0, 0.0, 99_999.0)[int(now * 3) % 5]
+
+
+def state_nothing(concurrency: int, now: float) -> float:
+    return 0.0
+
+
+@dataclass(slots=True)
+class ServerModel:
+    """A server behind a queue that is offered a share of its slots, in virtual time."""
+
+    slow_down: Callable[[int, float], float]
+    """Returns the factor of the work time, from the concurrency and the time."""
+    state_pace: Callable[[int, float], float]
+    offered: float = 1.1
+    """Offered load, as a share of the largest limit at the usual work time."""
+    seed: int = 1
+    limits: list[tuple[float, int]] = field(default_factory=list)
+    """Times and limits, one for each run that ended."""
+    learned: LearnedLimit = field(default_factory=LearnedLimit)
+
+    def simulate(self, length_s: float) -> None:
+        source = random.Random(self.seed)
+        queue = SlotQueue(SLOTS, self.learned)
+        running: list[tuple[float, int, Job]] = []
+        now, arrives_at, number = 0.0, 0.0, 0
+        while now < length_s:
+            if running and running[0][0] <= arrives_at:
+                now, _, job = heapq.heappop(running)
+                queue.finish(job, now, True)
+                pace = self.state_pace(job.concurrency, now)
+                queue.observe(job, pace, now)
+                self.limits.append((now, queue.limit))
+            else:
+                now = arrives_at
+                load = self.offered * min(1.0, 0.2 + now / 2)
+                arrives_at += source.expovariate(load * MAX_LIMIT / WORK_S)
+                queue.enqueue(Job(None, 0, now + 0.3, now + 0.7), now)
+            while (job := queue.dequeue(now)[0]) is not None:
+                number += 1
+                work_s = WORK_S * source.lognormvariate(-(SPREAD**2) / 2, SPREAD)
+                if source.random() < TAIL_SHARE:
+                    work_s *= TAIL_FACTOR
+                work_s *= self.slow_down(job.concurrency, now)
+                heapq.heappush(running, (now + work_s, number, job))
+
+    def compute_share(self, low: float, high: float, begin: float, end: float) -> float:
+        """Return the share of the runs that ended in a time under limits in a range."""
+        limits = [limit for at, limit in self.limits if begin <= at < end]
+        return sum(low <= limit <= high for limit in limits) / len(limits)
+
+
+CASES = [
+    # slowdown, stated pace, offered share, limits expected from 12 s on, least limit
+    pytest.param(compute_flat, state_usual, 1.1, (75, 75), 75, id="full"),
+    pytest.param(compute_flat, state_usual, 0.6, (75, 75), 75, id="calm"),
+    pytest.param(compute_slots_knee, state_usual, 1.1, (75, 75), 75, id="knee-above"),
+    pytest.param(compute_thrashing, state_usual, 1.1, (40, 56), 30, id="knee"),
+    pytest.param(compute_thrashing, state_usual, 0.4, (75, 75), 75, id="not-reached"),
+    pytest.param(compute_neighbour, state_neighbour, 1.1, (75, 75), 75, id="stated"),
+    pytest.param(compute_neighbour, state_usual, 1.1, (75, 75), 45, id="unstated"),
+    pytest.param(compute_passing_knee, state_usual, 1.1, (75, 75), 45, id="passing"),
+    pytest.param(compute_flat, state_wildly, 1.1, (30, 75), 30, id="lies"),
+]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(
+    ("slow_down", "state_pace", "offered", "expected", "least"), CASES
+)
+def test_the_limit_follows_the_knee_and_nothing_else(
+    slow_down: Callable[[int, float], float],
+    state_pace: Callable[[int, float], float],
+    offered: float,
+    expected: tuple[int, int],
+    least: int,
+    seed: int,
+) -> None:
+    """Guards against a limit that swings, misses a knee, or stays low after 1.4 s."""
+    model = ServerModel(slow_down, state_pace, offered, seed)
+    model.simulate(20.0)
+    assert model.compute_share(*expected, 12.0, 20.0) >= MIN_SHARE
+    assert min(limit for _, limit in model.limits) >= least
+
+
+def test_a_limit_between_work_that_gives_the_same_costs_no_throughput() -> None:
+    """Guards against a search that goes on where no limit is better than another."""
+    learning = ServerModel(compute_saturated, state_usual)
+    learning.simulate(20.0)
+    fixed = ServerModel(compute_saturated, state_nothing)
+    fixed.simulate(20.0)
+    assert len(learning.limits) >= 0.97 * len(fixed.limits)
+    assert {limit for _, limit in fixed.limits} == {MAX_LIMIT}
+
+
+LOADS: list[tuple[list[bytes], LoadStatement]] = [
+    ([b"3,1,79"], StatedLoad(3, 1, 79, None)),
+    ([b" 3,1,79,100 "], StatedLoad(3, 1, 79, 100.0)),
+    ([b"0,0,4,87.5"], StatedLoad(0, 0, 4, 87.5)),
+    ([], NoLoad()),
+    ([b"3,1,79,100", b"3,1,79"], UnreadableLoad()),
+    ([b""], UnreadableLoad()),
+    ([b"3,1"], UnreadableLoad()),
+    ([b"3,1,79,100,5"], UnreadableLoad()),
+    ([b"3,1,79,-100"], UnreadableLoad()),
+    ([b"-1,0,4"], UnreadableLoad()),
+    ([b"3,1,79,nan"], UnreadableLoad()),
+    ([b"3,1,79,1e3"], UnreadableLoad()),
+    ([b"3,1,79," + b"9" * 400], UnreadableLoad()),
+    ([b"many"], UnreadableLoad()),
+]
+
+
+@pytest.mark.parametrize(("values", "expected"), LOADS)
+def test_a_stated_load_is_read_by_clear_rules(
+    values: list[bytes], expected: LoadStatement
+) -> None:
+    """Guards against odd statements that raise, or count for something."""
+    headers = [(b"Cassiahatch-Server-Load", value) for value in values]
+    metadata = PlatformDialect().decode_response(RawResponse(200, headers, b"", True))
+    assert metadata.stated_load == expected
+    assert metadata.head == b""
+
+
+SHARES = [
+    # work times in ms by server (0: none is reported), requests in progress, bounds of
+    # the number that each gets
+    ([60.0, 160.0], 40, [(25, 35), (5, 15)]),
+    ([60.0, 100.0, 160.0], 200, [(70, 75), (60, 75), (45, 65)]),
+    ([100.0, 100.0], 40, [(20, 20), (20, 20)]),
+    ([60.0, 0.0], 40, [(20, 20), (20, 20)]),
+    ([0.0, 0.0], 40, [(20, 20), (20, 20)]),
+]
+
+
+@pytest.mark.parametrize(("work_ms", "requests", "bounds"), SHARES)
+def test_a_fast_server_gets_more_requests_and_none_stays_idle(
+    work_ms: list[float], requests: int, bounds: list[tuple[int, int]]
+) -> None:
+    """Guards against equal shares of unequal servers, and against starving one."""
+    endpoints = [Endpoint(f"n{number}", "a", SLOTS) for number in range(len(work_ms))]
+    for endpoint, value in zip(endpoints, work_ms, strict=True):
+        endpoint.record_load(Load(limit=MAX_LIMIT, work_ms=value), 5.0)
+    placement = ZoneWaitPlacement("a", random.Random(1))
+    for _ in range(requests):
+        endpoint = placement.choose(endpoints, set(), 300.0, 5.1)
+        endpoint.sent_since_report += 1
+    for endpoint, (low, high) in zip(endpoints, bounds, strict=True):
+        assert low <= endpoint.sent_since_report <= high
+
+
+def test_requests_wait_where_slots_are_free_soonest() -> None:
+    """Guards against a queue at a slow server while a fast one ends runs sooner."""
+    endpoints = [Endpoint(f"n{number}", "a", SLOTS) for number in range(2)]
+    for endpoint, work_ms in zip(endpoints, (60.0, 160.0), strict=True):
+        load = Load(MAX_LIMIT, 10, MAX_LIMIT, 11 * work_ms / MAX_LIMIT, work_ms=work_ms)
+        endpoint.record_load(load, 5.0)
+    placement = ZoneWaitPlacement("a", random.Random(1))
+    chosen = Counter()
+    for _ in range(110):
+        endpoint = placement.choose(endpoints, set(), 300.0, 5.1)
+        endpoint.sent_since_report += 1
+        chosen[endpoint.node_id] += 1
+    assert 2.0 <= chosen["n0"] / chosen["n1"] <= 4.0
+
+
+STATEMENTS = [
+    # pace that answers state, cold seconds, whether the runs make calls, whether the
+    # reports then carry a work time
+    ("", 0, False, False),
+    (",100", 0, False, True),
+    (",0", 0, False, False),
+    (",100", 60, False, False),
+    (",100", 0, True, False),
+]
+
+
+@pytest.mark.parametrize(("pace", "cold_s", "has_calls", "expected"), STATEMENTS)
+def test_only_own_work_at_a_stated_pace_is_measured(
+    pace: str, cold_s: int, has_calls: bool, expected: bool
+) -> None:
+    """Guards against learning from cold starts and from waits for other services."""
+
+    async def scenario(site: Site) -> None:
+        site.configure(ROUTES | {"shop": {"prefix": "/shop/", "service": "shop"}})
+        shop, books = await site.add_host("shop"), await site.add_host("books")
+        await site.wait_for_convergence()
+        books.backend.stated_pace = pace
+        await books.announce(cold_remaining_s=cold_s)
+        if has_calls:
+            books.backend.downstream_targets["/read/"] = ["/shop/1"]
+        requests = [
+            send(shop.client_address, "GET", "/read/1", make_headers(f"q{number}"))
+            for number in range(MIN_BASELINE_RUNS + 10)
+        ]
+        statuses = [message.status for message in await asyncio.gather(*requests)]
+        assert statuses.count(200) >= MIN_BASELINE_RUNS
+        await asyncio.sleep(0.15)
+        endpoint = shop.sidecar.directory.list_endpoints("books")[0]
+        assert (endpoint.load.work_ms > 0.0) is expected
+        assert endpoint.load.limit == 3
+        shows = "cassiahatch_server_limit 3" in books.sidecar.metrics.render()
+        assert shows is expected
+
+    run_scenario(scenario)
