Split the phases of the learned limit from it, and average the reported pace

Change: limit_phases has the phases and what is measured in them; the reported work time uses the mean pace of ten runs; the limit is an attribute.

--- a/packages/node/src/cassiahatch_node/mesh/server_limit.py
+++ b/packages/node/src/cassiahatch_node/mesh/server_limit.py
@@ -13,7 +13,7 @@
 )
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.observability.metrics import Metrics
-from cassiahatch_policies.learned_limit import LimitExplanation, LimitReason
+from cassiahatch_policies.limit_phases import LimitExplanation, LimitReason
 from cassiahatch_policies.slot_queue import Job, SlotQueue
 
 MS_PER_S = 1000
--- a/packages/policies/src/cassiahatch_policies/learned_limit.py
+++ b/packages/policies/src/cassiahatch_policies/learned_limit.py
@@ -14,10 +14,17 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
-from enum import StrEnum
 
 from cassiahatch_kernel.registry import PLUGINS
+from cassiahatch_policies.limit_phases import (
+    MEMORY_RUNS,
+    TRIAL_RUNS,
+    Holding,
+    LimitExplanation,
+    LimitReason,
+    Trial,
+    WorkMean,
+)
 
 USUAL_PACE = 100.0
 MIN_PACE, MAX_PACE = 10.0, 2000.0
@@ -33,9 +40,6 @@
 TAIL_FACTOR = 3.0
 """Multiple of the mean at which a work time is clipped: one run in a hundred takes five
 times the mean, which would widen the spread of the means."""
-TRIAL_RUNS = 200
-"""Runs that decide a trial. With a spread of 0.6 the ratio of two such means has a
-standard error of 6 %."""
 SETTLING_RUNS = 3.0
 """Multiple of the mean work time after a change of the limit from which runs count.
 Among those that end earlier, the short ones are too many."""
@@ -43,11 +47,11 @@
 """Runs that decide a trial which took ``TRIAL_TIMEOUT_S``."""
 TRIAL_TIMEOUT_S = 1.0
 MIN_BASELINE_RUNS = 50
-MEMORY_RUNS = 400
-"""Runs over which the work time at a limit and the baseline are averaged."""
 SPEED_MEMORY_RUNS = 60
 """Runs over which the reported work time is averaged: a tenth of a second of a busy
 server."""
+PACE_MEMORY_RUNS = 10
+"""Runs over which the stated pace is averaged for the reported work time."""
 SLOWER_FACTOR = 1.2
 """Multiple of the baseline from which a lower limit is tried, above the noise of the
 means and below the slowdown of 1.3 of known servers."""
@@ -76,81 +80,6 @@
 MS_PER_S = 1000
 
 
-class LimitReason(StrEnum):
-    """Why the limit is what it is, as shown in logs and metrics."""
-
-    NO_PACE = "no_pace"
-    """The server states no pace, so nothing is learned."""
-    NO_SLOWDOWN = "no_slowdown"
-    """No lower limit has been found better."""
-    SLOW_AT_ANY_LIMIT = "slow_at_any_limit"
-    """The server is slower than before, and a lower limit does not help."""
-    SLOWER_ABOVE = "slower_above"
-    """Above the limit, the throughput is no higher."""
-    TRIAL = "trial"
-    """Another limit is being tried."""
-
-
-@dataclass(slots=True, frozen=True)
-class LimitExplanation:
-    """The limit and what it follows from."""
-
-    limit: int
-    max_limit: int
-    """Limit without learning, from the announced slots."""
-    baseline_ms: float
-    """Work time at low concurrency and usual pace; 0 if unknown."""
-    work_ms: float
-    """Work time now; 0 if unknown."""
-    reason: LimitReason
-
-
-@dataclass(slots=True)
-class WorkMean:
-    """Moving average of work times, over all runs at first."""
-
-    max_runs: int
-    runs: int = 0
-    seconds: float = 0.0
-    concurrency: float = 0.0
-    """Mean number of concurrent runs, where it is of interest."""
-
-    def add(self, work_s: float, concurrency: int = 0) -> None:
-        """Count one run."""
-        if self.runs < self.max_runs:
-            self.runs += 1
-        self.seconds += (work_s - self.seconds) / self.runs
-        self.concurrency += (concurrency - self.concurrency) / self.runs
-
-    @property
-    def throughput(self) -> float:
-        """Runs a second that a server with these concurrent runs completes."""
-        return self.concurrency / self.seconds
-
-
-@dataclass(slots=True)
-class Holding:
-    """The limit is kept, and the work time at the limit is measured."""
-
-    retry_at: float
-    """Monotonic seconds from which another limit may be tried."""
-    counted_from: float = float("-inf")
-    """Monotonic seconds from which the runs that end have begun under the limit."""
-    work: WorkMean = field(default_factory=lambda: WorkMean(MEMORY_RUNS))
-
-
-@dataclass(slots=True)
-class Trial:
-    """Another limit is tried."""
-
-    limit: int
-    reference: WorkMean
-    """Work time at the limit that was held."""
-    counted_from: float
-    """Monotonic seconds from which the runs that end have begun under the limit."""
-    work: WorkMean = field(default_factory=lambda: WorkMean(TRIAL_RUNS))
-
-
 @PLUGINS.register("concurrency_limit", "throughput")
 class LearnedLimit:
     """Learns how many concurrent runs give one backend server its highest throughput.
@@ -165,6 +94,7 @@
         "_last_pace",
         "_limit",
         "_max_limit",
+        "_mean_pace",
         "_measured",
         "_min_limit",
         "_observed_at",
@@ -173,6 +103,7 @@
         "_retry_s",
         "_target",
         "_usual",
+        "limit",
     )
 
     def __init__(self, max_limit: int = 1) -> None:
@@ -186,7 +117,11 @@
 
     def reset(self) -> None:
         """Forget what was learned: another process runs, or it states no pace."""
+        self.limit = self._max_limit
+        """Number of requests that may run concurrently now, in a trial too."""
         self._limit = self._ceiling = self._target = self._max_limit
+        """The limit without regard to a trial, the least one known to be no better than
+        it, and the one to try next."""
         self._is_searching = False
         """Whether the knee is still being searched between the limit and the ceiling."""
         self._retry_s = FIRST_RETRY_S
@@ -196,7 +131,7 @@
         """Work time at the usual pace, whatever the concurrency."""
         self._measured = WorkMean(SPEED_MEMORY_RUNS)
         """Work time as measured, with the pace of the moment."""
-        self._last_pace = USUAL_PACE
+        self._last_pace = self._mean_pace = USUAL_PACE
         self._observed_at = float("-inf")
         self._reason = LimitReason.NO_PACE
 
@@ -210,15 +145,6 @@
         """The last stated pace."""
         return self._last_pace
 
-    @property
-    def limit(self) -> int:
-        """Number of requests that may run concurrently now."""
-        match self._phase:
-            case Trial(limit=limit):
-                return limit
-            case Holding():
-                return self._limit
-
     @property
     def work_s(self) -> float:
         """Mean work time in seconds at the stated pace; 0 if unknown.
@@ -228,7 +154,7 @@
         """
         if self._usual.runs < MIN_BASELINE_RUNS:
             return 0.0
-        stated_s = self._usual.seconds * self._last_pace / USUAL_PACE
+        stated_s = self._usual.seconds * self._mean_pace / USUAL_PACE
         return max(stated_s, self._measured.seconds)
 
     def explain(self) -> LimitExplanation:
@@ -277,6 +203,7 @@
             self._reason = LimitReason.NO_SLOWDOWN
         self._observed_at = now
         self._last_pace = pace
+        self._mean_pace += (pace - self._mean_pace) / PACE_MEMORY_RUNS
         mean_pace = pace if started_pace is None else (started_pace + pace) / 2
         usual_s = self._count(work_s, mean_pace)
         if concurrency <= LOW_SHARE * self._max_limit:
@@ -314,12 +241,12 @@
             factor = self._find_decrease_factor(work.seconds)
             if factor < 1.0:
                 limit = max(self._min_limit, int(self._limit * factor))
-                self._phase = Trial(limit, work, self._compute_settled_at(now))
+                self._try(limit, work, now)
                 return
         if self._limit == self._max_limit:
             return
         if work.runs >= MIN_TRIAL_RUNS:
-            self._phase = Trial(self._target, work, self._compute_settled_at(now))
+            self._try(self._target, work, now)
         elif now - holding.retry_at > UNREACHED_S:
             self._raise(self._max_limit, now)
 
@@ -419,7 +346,12 @@
         self._retry_s = min(MAX_RETRY_S, 2 * self._retry_s)
         return retry_at
 
+    def _try(self, limit: int, reference: WorkMean, now: float) -> None:
+        self.limit = limit
+        self._phase = Trial(limit, reference, self._compute_settled_at(now))
+
     def _hold(self, now: float, retry_at: float) -> None:
+        self.limit = self._limit
         self._phase = Holding(retry_at, self._compute_settled_at(now))
 
     def _compute_settled_at(self, now: float) -> float:
--- a/packages/policies/src/cassiahatch_policies/placement.py
+++ b/packages/policies/src/cassiahatch_policies/placement.py
@@ -134,14 +134,13 @@
         """Return the mean work time of a request; 0 if no recent report says it."""
         return self.load.work_ms if now - self.reported_at <= REPORT_TTL_S else 0.0
 
-    def compute_cost(self, work_ms: float, now: float) -> float:
+    def compute_cost(self, work_ms: float, utilization: float) -> float:
         """Return the work time times the share of its slots in use after a request.
 
         Of servers at equal cost, one that is twice as fast runs twice as many requests
         at a time. An idle one still has a cost, so that the fastest idle one is chosen.
         """
-        limit = self.load.limit or self.slots or 1
-        return work_ms * (self.compute_utilization(now) + 1 / limit)
+        return work_ms * (utilization + 1 / (self.load.limit or self.slots or 1))
 
 
 def is_outlier(endpoint: Endpoint, endpoints: Iterable[Endpoint]) -> bool:
@@ -245,7 +244,7 @@
                 ):
                     best, lowest = endpoint, utilization
                 work_ms = endpoint.get_work_ms(now)
-                cost = endpoint.compute_cost(work_ms, now) if work_ms else 0.0
+                cost = endpoint.compute_cost(work_ms, utilization)
                 if cost < lowest_cost:
                     cheapest, lowest_cost = endpoint, cost
         return cheapest if lowest_cost > 0.0 else best
@@ -256,8 +255,7 @@
         wait_ms = endpoint.estimate_wait_ms(now)
         if endpoint.zone != self._zone:
             wait_ms += penalty_ms
+        cost = endpoint.compute_utilization(now)
         if has_work:
-            cost = endpoint.compute_cost(endpoint.get_work_ms(now), now)
-        else:
-            cost = endpoint.compute_utilization(now)
+            cost = endpoint.compute_cost(endpoint.get_work_ms(now), cost)
         return wait_ms, cost, self._random.random()
--- a/tests/test_mesh_server_limits.py
+++ b/tests/test_mesh_server_limits.py
@@ -87,6 +87,8 @@
     offered: float = 1.1
     """Offered load, as a share of the largest limit at the usual work time."""
     seed: int = 1
+    initial_share: float = 0.2
+    """Share of the load that is offered at first; all of it is after 2 s."""
     limits: list[tuple[float, int]] = field(default_factory=list)
     """Times and limits, one for each run that ended."""
     learned: LearnedLimit = field(default_factory=LearnedLimit)
@@ -105,7 +107,7 @@
                 self.limits.append((now, queue.limit))
             else:
                 now = arrives_at
-                load = self.offered * min(1.0, 0.2 + now / 2)
+                load = self.offered * min(1.0, self.initial_share + now / 2)
                 arrives_at += source.expovariate(load * MAX_LIMIT / WORK_S)
                 queue.enqueue(Job(None, 0, now + 0.3, now + 0.7), now)
             while (job := queue.dequeue(now)[0]) is not None:
@@ -155,6 +157,13 @@
     assert min(limit for _, limit in model.limits) >= least
 
 
+def test_the_knee_is_found_although_the_server_was_never_less_than_saturated() -> None:
+    """Guards against a baseline that is the work time of an overloaded server."""
+    model = ServerModel(compute_thrashing, state_usual, initial_share=1.0)
+    model.simulate(20.0)
+    assert model.compute_share(40, 56, 12.0, 20.0) >= MIN_SHARE
+
+
 def test_a_limit_between_work_that_gives_the_same_costs_no_throughput() -> None:
     """Guards against a search that goes on where no limit is better than another."""
     learning = ServerModel(compute_saturated, state_usual)
