Try a far lower limit for a server that is still slow at a lower one

Cause: a server whose work time doubles above 0.6 of its slots kept all of them: the first lower limit was above the knee too, and its work time became the baseline. A small server without enough runs for a trial began one every 8 s. Change: a second, far lower trial after a pause; an overdue trial sets the baseline. Result: tests/test_mesh_server_limits.py passes (57), with a case of such a knee.

--- a/packages/policies/src/cassiahatch_policies/learned_limit.py
+++ b/packages/policies/src/cassiahatch_policies/learned_limit.py
@@ -102,6 +102,7 @@
         "_reason",
         "_retry_s",
         "_target",
+        "_tries_deeper",
         "_usual",
         "limit",
     )
@@ -124,6 +125,8 @@
         it, and the one to try next."""
         self._is_searching = False
         """Whether the knee is still being searched between the limit and the ceiling."""
+        self._tries_deeper = False
+        """Whether the next trial goes down far, since the last one was still slow."""
         self._retry_s = FIRST_RETRY_S
         self._phase: Holding | Trial = Holding(float("-inf"))
         self._baseline = WorkMean(MEMORY_RUNS)
@@ -259,8 +262,11 @@
             baseline.add(work_s)
             if self._limit == self._max_limit:
                 self._reason = LimitReason.NO_SLOWDOWN
+            self._tries_deeper = False
         if work_s <= SLOWER_FACTOR * baseline.seconds:
             return 1.0
+        if self._tries_deeper:
+            return MIN_DECREASE_FACTOR
         return max(MIN_DECREASE_FACTOR, baseline.seconds / work_s)
 
     def _end_trial(self, trial: Trial, now: float) -> None:
@@ -292,6 +298,9 @@
         elif trial.limit > self._limit:
             self._raise(trial.limit, now)
         else:
+            if self._baseline.runs < MIN_BASELINE_RUNS:
+                reference_s = trial.reference.seconds
+                self._baseline = WorkMean(MEMORY_RUNS, TRIAL_RUNS, reference_s)
             self._hold(now, self._back_off(now))
 
     def _lower(self, limit: int, now: float) -> None:
@@ -299,17 +308,26 @@
         self._ceiling = self._target = self._limit
         self._limit = limit
         self._is_searching = True
+        self._tries_deeper = False
         self._retry_s = FIRST_RETRY_S
         self._reason = LimitReason.SLOWER_ABOVE
         self._hold(now, now + SEARCH_PAUSE_S)
 
     def _reject_lower(self, trial: Trial, now: float) -> None:
-        """Take the work time for that of all limits, since a lower one is no better."""
+        """Return to the limit, and take the work time for that of all limits.
+
+        One that is still slow may be above the knee itself. So a much lower limit is
+        tried first, after a pause in which a short slowdown ends.
+        """
         was_known = self._baseline.runs >= MIN_BASELINE_RUNS
         is_slow = trial.work.seconds > SLOWER_FACTOR * self._baseline.seconds
-        if was_known and is_slow:
-            self._reason = LimitReason.SLOW_AT_ANY_LIMIT
-        self._baseline = WorkMean(MEMORY_RUNS, TRIAL_RUNS, trial.work.seconds)
+        if was_known and is_slow and not self._tries_deeper:
+            self._tries_deeper = True
+        else:
+            if was_known and is_slow:
+                self._reason = LimitReason.SLOW_AT_ANY_LIMIT
+            self._tries_deeper = False
+            self._baseline = WorkMean(MEMORY_RUNS, TRIAL_RUNS, trial.work.seconds)
         self._hold(now, self._back_off(now))
 
     def _raise(self, limit: int, now: float) -> None:
--- a/tests/test_mesh_server_limits.py
+++ b/tests/test_mesh_server_limits.py
@@ -53,6 +53,10 @@
     return max(1.0, (concurrency / 48) ** 2)
 
 
+def compute_deep_knee(concurrency: int, now: float) -> float:
+    return 2.2 if concurrency > 48 else 1.0
+
+
 def compute_neighbour(concurrency: int, now: float) -> float:
     return 2.5 if 10.0 <= now < 10.6 else 1.0
 
@@ -130,6 +134,7 @@
     pytest.param(compute_flat, state_usual, 0.6, (75, 75), 75, id="calm"),
     pytest.param(compute_slots_knee, state_usual, 1.1, (75, 75), 75, id="knee-above"),
     pytest.param(compute_thrashing, state_usual, 1.1, (40, 56), 30, id="knee"),
+    pytest.param(compute_deep_knee, state_usual, 1.1, (40, 56), 30, id="deep-knee"),
     pytest.param(compute_thrashing, state_usual, 0.4, (75, 75), 75, id="not-reached"),
     pytest.param(compute_neighbour, state_neighbour, 1.1, (75, 75), 75, id="stated"),
     pytest.param(compute_neighbour, state_usual, 1.1, (75, 75), 45, id="unstated"),
