--- a/packages/node/src/cassiahatch_node/mesh/ingress.py
+++ b/packages/node/src/cassiahatch_node/mesh/ingress.py
@@ -488,7 +488,7 @@
             and isinstance(result, Reply)
             and result.status < MIN_FAILURE_STATUS
         ):
-            self._server_limit.record_run(job, arrival.pace, now)
+            self._server_limit.record_run(job, arrival.call.route, arrival.pace, now)
 
     def record_undelivered(self, request_id: str, reason: str, **fields: Any) -> None:
         """Log and count a reply of the backend server that its caller does not get."""
--- a/packages/node/src/cassiahatch_node/mesh/server_limit.py
+++ b/packages/node/src/cassiahatch_node/mesh/server_limit.py
@@ -91,9 +91,9 @@
                 self._expire()
                 return None
 
-    def record_run(self, job: Job, pace: float, now: float) -> None:
+    def record_run(self, job: Job, route: str, pace: float, now: float) -> None:
         """Count a run that was answered and has made no calls of its own."""
-        self._queue.observe(job, pace, now)
+        self._queue.observe(job, pace, now, route)
         self._log_change()
 
     def show(self) -> None:
--- a/packages/policies/src/cassiahatch_policies/learned_limit.py
+++ b/packages/policies/src/cassiahatch_policies/learned_limit.py
@@ -17,16 +17,20 @@
 
 from cassiahatch_kernel.registry import PLUGINS
 from cassiahatch_policies.limit_phases import (
-    MEMORY_RUNS,
     TRIAL_RUNS,
     Holding,
     LimitExplanation,
     LimitReason,
     Trial,
+)
+from cassiahatch_policies.work_times import (
+    MEMORY_RUNS,
+    MIN_BASELINE_RUNS,
+    USUAL_PACE,
     WorkMean,
+    WorkTimes,
 )
 
-USUAL_PACE = 100.0
 MIN_PACE, MAX_PACE = 10.0, 2000.0
 """Bounds of a plausible pace: ten times as fast as usual, and twenty times as slow. A
 run with another pace is not counted."""
@@ -37,21 +41,12 @@
 """Share of the largest limit up to which a run counts towards the baseline."""
 SATURATED_SHARE = 0.9
 """Share of the limit from which a run shows how the server works at the limit."""
-TAIL_FACTOR = 3.0
-"""Multiple of the mean at which a work time is clipped: one run in a hundred takes five
-times the mean, which would widen the spread of the means."""
 SETTLING_RUNS = 3.0
 """Multiple of the mean work time after a change of the limit from which runs count.
 Among those that end earlier, the short ones are too many."""
 MIN_TRIAL_RUNS = 60
 """Runs that decide a trial which took ``TRIAL_TIMEOUT_S``."""
 TRIAL_TIMEOUT_S = 1.0
-MIN_BASELINE_RUNS = 50
-SPEED_MEMORY_RUNS = 60
-"""Runs over which the reported work time is averaged: a tenth of a second of a busy
-server."""
-PACE_MEMORY_RUNS = 10
-"""Runs over which the stated pace is averaged for the reported work time."""
 SLOWER_FACTOR = 1.2
 """Multiple of the baseline from which a lower limit is tried, above the noise of the
 means and below the slowdown of 1.3 of known servers."""
@@ -94,16 +89,14 @@
         "_last_pace",
         "_limit",
         "_max_limit",
-        "_mean_pace",
-        "_measured",
         "_min_limit",
         "_observed_at",
         "_phase",
         "_reason",
         "_retry_s",
         "_target",
+        "_times",
         "_tries_deeper",
-        "_usual",
         "limit",
     )
 
@@ -130,11 +123,8 @@
         self._retry_s = FIRST_RETRY_S
         self._phase: Holding | Trial = Holding(float("-inf"))
         self._baseline = WorkMean(MEMORY_RUNS)
-        self._usual = WorkMean(MEMORY_RUNS)
-        """Work time at the usual pace, whatever the concurrency."""
-        self._measured = WorkMean(SPEED_MEMORY_RUNS)
-        """Work time as measured, with the pace of the moment."""
-        self._last_pace = self._mean_pace = USUAL_PACE
+        self._times = WorkTimes()
+        self._last_pace = USUAL_PACE
         self._observed_at = float("-inf")
         self._reason = LimitReason.NO_PACE
 
@@ -150,15 +140,8 @@
 
     @property
     def work_s(self) -> float:
-        """Mean work time in seconds at the stated pace; 0 if unknown.
-
-        It is no shorter than measured, so that a wrong statement can only lower the
-        server's own share of the load.
-        """
-        if self._usual.runs < MIN_BASELINE_RUNS:
-            return 0.0
-        stated_s = self._usual.seconds * self._mean_pace / USUAL_PACE
-        return max(stated_s, self._measured.seconds)
+        """Mean work time in seconds at the stated pace; 0 if unknown."""
+        return self._times.work_s
 
     def explain(self) -> LimitExplanation:
         """Return the limit with what it follows from."""
@@ -166,7 +149,7 @@
         return LimitExplanation(
             self.limit,
             self._max_limit,
-            self._baseline.seconds * MS_PER_S,
+            self._baseline.value * self._times.usual_s * MS_PER_S,
             self.work_s * MS_PER_S,
             LimitReason.TRIAL if is_trial else self._reason,
         )
@@ -183,6 +166,7 @@
         pace: float,
         now: float,
         started_pace: float | None = None,
+        route: str = "",
     ) -> None:
         """Count a run that has ended and has made no calls of its own.
 
@@ -199,6 +183,9 @@
         started_pace : float, optional
             The ``pace`` of this object as the run started. Work under a pace that
             changes takes about as long as under the mean of the two.
+        route : str, optional
+            Route of the request. Only runs of one route are compared, since the share of
+            each changes with the requests.
         """
         if not MIN_PACE <= pace <= MAX_PACE or work_s <= 0.0:
             return
@@ -206,17 +193,17 @@
             self._reason = LimitReason.NO_SLOWDOWN
         self._observed_at = now
         self._last_pace = pace
-        self._mean_pace += (pace - self._mean_pace) / PACE_MEMORY_RUNS
+        self._times.record_pace(pace)
         mean_pace = pace if started_pace is None else (started_pace + pace) / 2
-        usual_s = self._count(work_s, mean_pace)
+        work = self._times.count(work_s, mean_pace, route)
         if concurrency <= LOW_SHARE * self._max_limit:
-            self._baseline.add(usual_s)
+            self._baseline.add(work)
         phase = self._phase
         limit = self.limit
         if now >= phase.counted_from and (
             SATURATED_SHARE * limit <= concurrency <= limit
         ):
-            phase.work.add(usual_s, concurrency)
+            phase.work.add(work, concurrency)
         match phase:
             case Holding(retry_at=retry_at):
                 if now >= retry_at:
@@ -227,21 +214,11 @@
                 elif now - counted_from > TRIAL_TIMEOUT_S:
                     self._end_overdue_trial(phase, now)
 
-    def _count(self, work_s: float, pace: float) -> float:
-        """Update the mean work times, and return the clipped one at the usual pace."""
-        usual_s = work_s * USUAL_PACE / pace
-        if self._usual.runs >= MIN_BASELINE_RUNS:
-            usual_s = min(usual_s, TAIL_FACTOR * self._usual.seconds)
-            work_s = min(work_s, TAIL_FACTOR * self._measured.seconds)
-        self._usual.add(usual_s)
-        self._measured.add(work_s)
-        return usual_s
-
     def _begin_trial(self, holding: Holding, now: float) -> None:
         """Try another limit if there is a reason to."""
         work = holding.work
         if work.runs >= TRIAL_RUNS and self._limit > self._min_limit:
-            factor = self._find_decrease_factor(work.seconds)
+            factor = self._find_decrease_factor(work.value)
             if factor < 1.0:
                 limit = max(self._min_limit, int(self._limit * factor))
                 self._try(limit, work, now)
@@ -253,21 +230,21 @@
         elif now - holding.retry_at > UNREACHED_S:
             self._raise(self._max_limit, now)
 
-    def _find_decrease_factor(self, work_s: float) -> float:
+    def _find_decrease_factor(self, work: float) -> float:
         """Return the factor of the limit to try; 1 if there is no reason to lower it."""
         baseline = self._baseline
         if baseline.runs < MIN_BASELINE_RUNS:
             return EXPLORING_FACTOR
-        if work_s <= baseline.seconds:
-            baseline.add(work_s)
+        if work <= baseline.value:
+            baseline.add(work)
             if self._limit == self._max_limit:
                 self._reason = LimitReason.NO_SLOWDOWN
             self._tries_deeper = False
-        if work_s <= SLOWER_FACTOR * baseline.seconds:
+        if work <= SLOWER_FACTOR * baseline.value:
             return 1.0
         if self._tries_deeper:
             return MIN_DECREASE_FACTOR
-        return max(MIN_DECREASE_FACTOR, baseline.seconds / work_s)
+        return max(MIN_DECREASE_FACTOR, baseline.value / work)
 
     def _end_trial(self, trial: Trial, now: float) -> None:
         """Keep the limit that gave the higher throughput.
@@ -299,8 +276,8 @@
             self._raise(trial.limit, now)
         else:
             if self._baseline.runs < MIN_BASELINE_RUNS:
-                reference_s = trial.reference.seconds
-                self._baseline = WorkMean(MEMORY_RUNS, TRIAL_RUNS, reference_s)
+                reference_work = trial.reference.value
+                self._baseline = WorkMean(MEMORY_RUNS, TRIAL_RUNS, reference_work)
             self._hold(now, self._back_off(now))
 
     def _lower(self, limit: int, now: float) -> None:
@@ -320,14 +297,14 @@
         tried first, after a pause in which a short slowdown ends.
         """
         was_known = self._baseline.runs >= MIN_BASELINE_RUNS
-        is_slow = trial.work.seconds > SLOWER_FACTOR * self._baseline.seconds
+        is_slow = trial.work.value > SLOWER_FACTOR * self._baseline.value
         if was_known and is_slow and not self._tries_deeper:
             self._tries_deeper = True
         else:
             if was_known and is_slow:
                 self._reason = LimitReason.SLOW_AT_ANY_LIMIT
             self._tries_deeper = False
-            self._baseline = WorkMean(MEMORY_RUNS, TRIAL_RUNS, trial.work.seconds)
+            self._baseline = WorkMean(MEMORY_RUNS, TRIAL_RUNS, trial.work.value)
         self._hold(now, self._back_off(now))
 
     def _raise(self, limit: int, now: float) -> None:
@@ -373,4 +350,4 @@
         self._phase = Holding(retry_at, self._compute_settled_at(now))
 
     def _compute_settled_at(self, now: float) -> float:
-        return now + SETTLING_RUNS * self._measured.seconds
+        return now + SETTLING_RUNS * self._times.measured_s
--- a/packages/policies/src/cassiahatch_policies/limit_phases.py
+++ b/packages/policies/src/cassiahatch_policies/limit_phases.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from cassiahatch_policies.work_times import MEMORY_RUNS, WorkMean
+
 TRIAL_RUNS = 200
 """Runs that decide a trial. With a spread of 0.6 the ratio of two such means has a
 standard error of 6 %."""
-MEMORY_RUNS = 400
-"""Runs over which the work time at a limit and the baseline are averaged."""
 
 
 class LimitReason(StrEnum):
@@ -41,29 +41,6 @@
     reason: LimitReason
 
 
-@dataclass(slots=True)
-class WorkMean:
-    """Moving average of work times, over all runs at first."""
-
-    max_runs: int
-    runs: int = 0
-    seconds: float = 0.0
-    concurrency: float = 0.0
-    """Mean number of concurrent runs, where it is of interest."""
-
-    def add(self, work_s: float, concurrency: int = 0) -> None:
-        """Count one run."""
-        if self.runs < self.max_runs:
-            self.runs += 1
-        self.seconds += (work_s - self.seconds) / self.runs
-        self.concurrency += (concurrency - self.concurrency) / self.runs
-
-    @property
-    def throughput(self) -> float:
-        """Runs a second that a server with these concurrent runs completes."""
-        return self.concurrency / self.seconds
-
-
 @dataclass(slots=True)
 class Holding:
     """The limit is kept, and the work time at the limit is measured."""
--- a/packages/policies/src/cassiahatch_policies/slot_queue.py
+++ b/packages/policies/src/cassiahatch_policies/slot_queue.py
@@ -116,17 +116,19 @@
         """Use the learned limit, after it may have changed."""
         self.limit = self._concurrency_limit.limit
 
-    def observe(self, job: Job, pace: float, now: float) -> None:
+    def observe(self, job: Job, pace: float, now: float, route: str = "") -> None:
         """Let a finished job that has made no calls of its own count for the limit.
 
         Parameters
         ----------
         pace : float
             Pace that its answer states.
+        route : str, optional
+            Route of the call.
         """
         work_s = now - job.started_at
         self._concurrency_limit.observe(
-            job.concurrency, work_s, pace, now, job.started_pace
+            job.concurrency, work_s, pace, now, job.started_pace, route
         )
         self.follow_limit()
 
--- a/tests/test_mesh_server_limits.py
+++ b/tests/test_mesh_server_limits.py
@@ -20,9 +20,10 @@
     UnreadableLoad,
 )
 from cassiahatch_platform.dialect import PlatformDialect
-from cassiahatch_policies.learned_limit import MIN_BASELINE_RUNS, LearnedLimit
+from cassiahatch_policies.learned_limit import LearnedLimit
 from cassiahatch_policies.placement import Endpoint, ZoneWaitPlacement
 from cassiahatch_policies.slot_queue import Job, SlotQueue
+from cassiahatch_policies.work_times import MIN_BASELINE_RUNS
 from mesh_site import Site, make_headers, send
 from test_mesh import ROUTES, run_scenario
 
@@ -30,6 +31,8 @@
 MAX_LIMIT = 75
 WORK_S = 0.05
 SPREAD = 0.5
+SIZES = {"small": 0.75, "large": 2.0}
+"""Work of each route; the mean is 1."""
 TAIL_SHARE, TAIL_FACTOR = 0.01, 5.0
 MIN_SHARE = 0.85
 """Share of the runs that must end under an expected limit: the rest is left for trials."""
@@ -81,6 +84,14 @@
     return 0.0
 
 
+def share_evenly(now: float) -> float:
+    return 0.2
+
+
+def burst(now: float) -> float:
+    return 0.4 if 10.0 <= now < 14.0 else 0.2
+
+
 @dataclass(slots=True)
 class ServerModel:
     """A server behind a queue that is offered a share of its slots, in virtual time."""
@@ -93,6 +104,8 @@
     seed: int = 1
     initial_share: float = 0.2
     """Share of the load that is offered at first; all of it is after 2 s."""
+    large_share: Callable[[float], float] = share_evenly
+    """Returns the share of the requests of the route whose work is large."""
     limits: list[tuple[float, int]] = field(default_factory=list)
     """Times and limits, one for each run that ended."""
     learned: LearnedLimit = field(default_factory=LearnedLimit)
@@ -107,19 +120,20 @@
                 now, _, job = heapq.heappop(running)
                 queue.finish(job, now, True)
                 pace = self.state_pace(job.concurrency, now)
-                queue.observe(job, pace, now)
+                queue.observe(job, pace, now, job.payload)
                 self.limits.append((now, queue.limit))
             else:
                 now = arrives_at
                 load = self.offered * min(1.0, self.initial_share + now / 2)
                 arrives_at += source.expovariate(load * MAX_LIMIT / WORK_S)
-                queue.enqueue(Job(None, 0, now + 0.3, now + 0.7), now)
+                route = "large" if source.random() < self.large_share(now) else "small"
+                queue.enqueue(Job(route, 0, now + 0.3, now + 0.7), now)
             while (job := queue.dequeue(now)[0]) is not None:
                 number += 1
                 work_s = WORK_S * source.lognormvariate(-(SPREAD**2) / 2, SPREAD)
                 if source.random() < TAIL_SHARE:
                     work_s *= TAIL_FACTOR
-                work_s *= self.slow_down(job.concurrency, now)
+                work_s *= self.slow_down(job.concurrency, now) * SIZES[job.payload]
                 heapq.heappush(running, (now + work_s, number, job))
 
     def compute_share(self, low: float, high: float, begin: float, end: float) -> float:
@@ -162,6 +176,13 @@
     assert min(limit for _, limit in model.limits) >= least
 
 
+def test_a_burst_of_a_route_with_large_work_is_no_slowdown() -> None:
+    """Guards against comparing the work of different requests."""
+    model = ServerModel(compute_flat, state_usual, 0.95, large_share=burst)
+    model.simulate(20.0)
+    assert {limit for _, limit in model.limits} == {MAX_LIMIT}
+
+
 def test_the_knee_is_found_although_the_server_was_never_less_than_saturated() -> None:
     """Guards against a baseline that is the work time of an overloaded server."""
     model = ServerModel(compute_thrashing, state_usual, initial_share=1.0)
