Describe the learned limit, and keep a statement from making a server look faster

Cause: work times were clipped by a multiple that depends on the stated pace, also for the mean as measured, which a statement must not lower. Each heartbeat of a warm server moved the end of its cold time to that moment, so that the runs in progress did not count.

--- a/packages/node/src/cassiahatch_node/mesh/own_backend.py
+++ b/packages/node/src/cassiahatch_node/mesh/own_backend.py
@@ -85,6 +85,7 @@
         self._stops_at: float | None = None
         self.announcement: Announcement | None = None
         self.cold_until = float("-inf")
+        """Monotonic seconds until which the current process is slow after its start."""
         self.is_missing = False
         """Whether it refused a connection, did not answer a probe, or another process
         has taken over its address."""
@@ -131,7 +132,8 @@
         was_missing, self.is_missing = self.is_missing, False
         if not is_same_instance or current.born_ms != announcement.born_ms:
             self._stops_at = None
-        self.cold_until = now + announcement.cold_s
+        if announcement.cold_s > 0.0 or not is_same_instance:
+            self.cold_until = now + announcement.cold_s
         if announcement.state is BackendState.DRAINING:
             self._begin_draining(now)
         return was_missing or not is_same_instance or _differs(announcement, current)
--- a/packages/node/src/cassiahatch_node/mesh/server_limit.py
+++ b/packages/node/src/cassiahatch_node/mesh/server_limit.py
@@ -27,7 +27,9 @@
     queue : SlotQueue
         Starts the runs within the limit.
     limit : LearnedLimit
-        The plug-in that learns the limit.
+        The plug-in that learns the limit, which the queue follows.
+    clock : Clock
+        Source of time.
     """
 
     __slots__ = (
--- a/packages/policies/src/cassiahatch_policies/work_times.py
+++ b/packages/policies/src/cassiahatch_policies/work_times.py
@@ -99,9 +99,10 @@
         work = usual_s / route_mean.value
         longest = TAIL_FACTOR * self._level
         if work > longest:
-            work_s *= longest / work
             usual_s *= longest / work
             work = longest
+        if self._measured.runs:
+            work_s = min(work_s, TAIL_FACTOR * self._measured.value)
         route_mean.add(usual_s / self._level)
         self._level += (work - self._level) / LEVEL_MEMORY_RUNS
         self._usual.add(usual_s)
--- a/tests/test_mesh_server_limits.py
+++ b/tests/test_mesh_server_limits.py
@@ -80,6 +80,14 @@
     return (10.0, 2000.0, 100.0, 0.0, 99_999.0)[int(now * 3) % 5]
 
 
+def state_fast(concurrency: int, now: float) -> float:
+    return 10.0
+
+
+def state_mostly_slow(concurrency: int, now: float) -> float:
+    return 10.0 if int(now * 40) % 20 == 0 else 2000.0
+
+
 def state_nothing(concurrency: int, now: float) -> float:
     return 0.0
 
@@ -176,6 +184,19 @@
     assert min(limit for _, limit in model.limits) >= least
 
 
+@pytest.mark.parametrize("state_pace", [state_fast, state_wildly, state_mostly_slow])
+def test_no_statement_makes_a_server_look_faster(
+    state_pace: Callable[[int, float], float],
+) -> None:
+    """Guards against a server that draws load from others by what it states."""
+    model = ServerModel(compute_flat, state_pace, 0.8)
+    reported = [model.learned.work_s]
+    for length_s in (4.0, 5.0, 6.0):
+        model.simulate(length_s)
+        reported.append(model.learned.work_s)
+    assert min(reported[1:]) >= 0.75 * WORK_S
+
+
 def test_a_burst_of_a_route_with_large_work_is_no_slowdown() -> None:
     """Guards against comparing the work of different requests."""
     model = ServerModel(compute_flat, state_usual, 0.95, large_share=burst)
