Put the cases of the learned limit into one table

Change: servers are rows of one table, of which a bursting route and a server saturated from the start are two; slowdowns and paces are looked up by name.

--- a/tests/test_mesh_server_limits.py
+++ b/tests/test_mesh_server_limits.py
@@ -32,191 +32,147 @@
 WORK_S = 0.05
 SPREAD = 0.5
 SIZES = {"small": 0.75, "large": 2.0}
-"""Work of each route; the mean is 1."""
+"""Work of each route; the mean is 1 with the usual share of large ones, 0.2."""
 TAIL_SHARE, TAIL_FACTOR = 0.01, 5.0
+RECOVERED_AT = 12.0
+"""Slowdowns last from 10.0 to 10.6 s. From 1.4 s after that on, the limit must be as
+expected for this share of the runs: the rest is left for trials."""
 MIN_SHARE = 0.85
-"""Share of the runs that must end under an expected limit: the rest is left for trials."""
+LENGTH_S = 20.0
 
 
-def compute_flat(concurrency: int, now: float) -> float:
-    return 1.0
-
-
-def compute_slots_knee(concurrency: int, now: float) -> float:
-    return 1.3 if concurrency > 0.95 * SLOTS else 1.0
-
-
-def compute_saturated(concurrency: int, now: float) -> float:
-    """Work takes longer in proportion to the concurrency above 48."""
-    return max(1.0, concurrency / 48)
-
-
-def compute_thrashing(concurrency: int, now: float) -> float:
+def compute_thrashing(concurrency: int) -> float:
     """Above 48, each further run costs more than it does."""
     return max(1.0, (concurrency / 48) ** 2)
 
 
-def compute_deep_knee(concurrency: int, now: float) -> float:
-    return 2.2 if concurrency > 48 else 1.0
-
-
-def compute_neighbour(concurrency: int, now: float) -> float:
-    return 2.5 if 10.0 <= now < 10.6 else 1.0
-
-
-def compute_passing_knee(concurrency: int, now: float) -> float:
-    return compute_thrashing(concurrency, now) if 10.0 <= now < 10.6 else 1.0
-
-
-def state_usual(concurrency: int, now: float) -> float:
-    return 100.0
-
-
-def state_neighbour(concurrency: int, now: float) -> float:
-    return 100.0 * compute_neighbour(concurrency, now)
-
-
-def state_wildly(concurrency: int, now: float) -> float:
-    return (10.0, 2000.0, 100.0, 0.0, 99_999.0)[int(now * 3) % 5]
+def has_event(now: float) -> bool:
+    return 10.0 <= now < 10.6
 
 
-def state_fast(concurrency: int, now: float) -> float:
-    return 10.0
-
-
-def state_mostly_slow(concurrency: int, now: float) -> float:
-    return 10.0 if int(now * 40) % 20 == 0 else 2000.0
-
-
-def state_nothing(concurrency: int, now: float) -> float:
-    return 0.0
-
-
-def share_evenly(now: float) -> float:
-    return 0.2
-
-
-def burst(now: float) -> float:
-    return 0.4 if 10.0 <= now < 14.0 else 0.2
+SLOWDOWNS: dict[str, Callable[[int, float], float]] = {
+    # factor of the work time, by concurrency and time
+    "none": lambda running, now: 1.0,
+    "knee above the limit": lambda running, now: 1.3 if running > 0.95 * SLOTS else 1.0,
+    "saturated": lambda running, now: max(1.0, running / 48),
+    "thrashing": lambda running, now: compute_thrashing(running),
+    "deep knee": lambda running, now: 2.2 if running > 48 else 1.0,
+    "neighbour": lambda running, now: 2.5 if has_event(now) else 1.0,
+    "passing": lambda running, now: compute_thrashing(running) ** has_event(now),
+}
+PACES: dict[str, Callable[[float], float]] = {
+    "usual": lambda now: 100.0,
+    "neighbour": lambda now: 250.0 if has_event(now) else 100.0,
+    "fast": lambda now: 10.0,
+    "mostly slow": lambda now: 10.0 if int(now * 40) % 20 == 0 else 2000.0,
+    "wild": lambda now: (10.0, 2000.0, 100.0, 0.0, 99_999.0)[int(now * 3) % 5],
+    "none": lambda now: 0.0,
+}
 
 
 @dataclass(slots=True)
 class ServerModel:
     """A server behind a queue that is offered a share of its slots, in virtual time."""
 
-    slow_down: Callable[[int, float], float]
-    """Returns the factor of the work time, from the concurrency and the time."""
-    state_pace: Callable[[int, float], float]
+    slowdown: str
+    pace: str = "usual"
     offered: float = 1.1
     """Offered load, as a share of the largest limit at the usual work time."""
-    seed: int = 1
+    burst_share: float = 0.2
+    """Share of the large requests between 10 and 14 s."""
     initial_share: float = 0.2
     """Share of the load that is offered at first; all of it is after 2 s."""
-    large_share: Callable[[float], float] = share_evenly
-    """Returns the share of the requests of the route whose work is large."""
     limits: list[tuple[float, int]] = field(default_factory=list)
     """Times and limits, one for each run that ended."""
     learned: LearnedLimit = field(default_factory=LearnedLimit)
 
-    def simulate(self, length_s: float) -> None:
-        source = random.Random(self.seed)
+    def simulate(self, seed: int) -> None:
+        source = random.Random(seed)
         queue = SlotQueue(SLOTS, self.learned)
         running: list[tuple[float, int, Job]] = []
         now, arrives_at, number = 0.0, 0.0, 0
-        while now < length_s:
+        while now < LENGTH_S:
             if running and running[0][0] <= arrives_at:
                 now, _, job = heapq.heappop(running)
                 queue.finish(job, now, True)
-                pace = self.state_pace(job.concurrency, now)
-                queue.observe(job, pace, now, job.payload)
+                queue.observe(job, PACES[self.pace](now), now, job.payload)
                 self.limits.append((now, queue.limit))
             else:
                 now = arrives_at
                 load = self.offered * min(1.0, self.initial_share + now / 2)
                 arrives_at += source.expovariate(load * MAX_LIMIT / WORK_S)
-                route = "large" if source.random() < self.large_share(now) else "small"
+                large_share = self.burst_share if 10.0 <= now < 14.0 else 0.2
+                route = "large" if source.random() < large_share else "small"
                 queue.enqueue(Job(route, 0, now + 0.3, now + 0.7), now)
             while (job := queue.dequeue(now)[0]) is not None:
                 number += 1
                 work_s = WORK_S * source.lognormvariate(-(SPREAD**2) / 2, SPREAD)
                 if source.random() < TAIL_SHARE:
                     work_s *= TAIL_FACTOR
-                work_s *= self.slow_down(job.concurrency, now) * SIZES[job.payload]
+                work_s *= SLOWDOWNS[self.slowdown](job.concurrency, now)
+                work_s *= SIZES[job.payload]
                 heapq.heappush(running, (now + work_s, number, job))
 
-    def compute_share(self, low: float, high: float, begin: float, end: float) -> float:
-        """Return the share of the runs that ended in a time under limits in a range."""
-        limits = [limit for at, limit in self.limits if begin <= at < end]
-        return sum(low <= limit <= high for limit in limits) / len(limits)
-
 
 CASES = [
-    # slowdown, stated pace, offered share, limits expected from 12 s on, least limit
-    pytest.param(compute_flat, state_usual, 1.1, (75, 75), 75, id="full"),
-    pytest.param(compute_flat, state_usual, 0.6, (75, 75), 75, id="calm"),
-    pytest.param(compute_slots_knee, state_usual, 1.1, (75, 75), 75, id="knee-above"),
-    pytest.param(compute_thrashing, state_usual, 1.1, (40, 56), 30, id="knee"),
-    pytest.param(compute_deep_knee, state_usual, 1.1, (40, 56), 30, id="deep-knee"),
-    pytest.param(compute_thrashing, state_usual, 0.4, (75, 75), 75, id="not-reached"),
-    pytest.param(compute_neighbour, state_neighbour, 1.1, (75, 75), 75, id="stated"),
-    pytest.param(compute_neighbour, state_usual, 1.1, (75, 75), 45, id="unstated"),
-    pytest.param(compute_passing_knee, state_usual, 1.1, (75, 75), 45, id="passing"),
-    pytest.param(compute_flat, state_wildly, 1.1, (30, 75), 30, id="lies"),
+    # arguments of the model, limits expected at last, least limit
+    pytest.param({"slowdown": "none"}, (75, 75), 75, id="full"),
+    pytest.param({"slowdown": "none", "offered": 0.6}, (75, 75), 75, id="calm"),
+    pytest.param({"slowdown": "none", "pace": "wild"}, (30, 75), 30, id="lies"),
+    pytest.param(
+        {"slowdown": "none", "offered": 0.95, "burst_share": 0.4},
+        (75, 75),
+        75,
+        id="burst-of-large-work",
+    ),
+    pytest.param({"slowdown": "knee above the limit"}, (75, 75), 75, id="knee-above"),
+    pytest.param({"slowdown": "thrashing"}, (40, 56), 30, id="knee"),
+    pytest.param({"slowdown": "deep knee"}, (40, 56), 30, id="deep-knee"),
+    pytest.param(
+        {"slowdown": "thrashing", "initial_share": 1.0},
+        (40, 56),
+        30,
+        id="never-below-the-knee",
+    ),
+    pytest.param(
+        {"slowdown": "thrashing", "offered": 0.4}, (75, 75), 75, id="knee-not-reached"
+    ),
+    pytest.param(
+        {"slowdown": "neighbour", "pace": "neighbour"}, (75, 75), 75, id="stated"
+    ),
+    pytest.param({"slowdown": "neighbour"}, (75, 75), 45, id="unstated"),
+    pytest.param({"slowdown": "passing"}, (75, 75), 45, id="passing-knee"),
 ]
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-@pytest.mark.parametrize(
-    ("slow_down", "state_pace", "offered", "expected", "least"), CASES
-)
+@pytest.mark.parametrize(("arguments", "expected", "least"), CASES)
 def test_the_limit_follows_the_knee_and_nothing_else(
-    slow_down: Callable[[int, float], float],
-    state_pace: Callable[[int, float], float],
-    offered: float,
-    expected: tuple[int, int],
-    least: int,
-    seed: int,
+    arguments: dict[str, object], expected: tuple[int, int], least: int, seed: int
 ) -> None:
-    """Guards against a limit that swings, misses a knee, or stays low after 1.4 s."""
-    model = ServerModel(slow_down, state_pace, offered, seed)
-    model.simulate(20.0)
-    assert model.compute_share(*expected, 12.0, 20.0) >= MIN_SHARE
+    """Guards against a limit that swings, misses a knee, or stays low after an event."""
+    model = ServerModel(**arguments)
+    model.simulate(seed)
+    limits = [limit for at, limit in model.limits if at >= RECOVERED_AT]
+    low, high = expected
+    share = sum(low <= limit <= high for limit in limits) / len(limits)
+    assert share >= MIN_SHARE
     assert min(limit for _, limit in model.limits) >= least
 
 
-@pytest.mark.parametrize("state_pace", [state_fast, state_wildly, state_mostly_slow])
-def test_no_statement_makes_a_server_look_faster(
-    state_pace: Callable[[int, float], float],
-) -> None:
+@pytest.mark.parametrize("pace", ["fast", "mostly slow", "wild"])
+def test_no_statement_makes_a_server_look_faster(pace: str) -> None:
     """Guards against a server that draws load from others by what it states."""
-    model = ServerModel(compute_flat, state_pace, 0.8)
-    reported = [model.learned.work_s]
-    for length_s in (4.0, 5.0, 6.0):
-        model.simulate(length_s)
-        reported.append(model.learned.work_s)
-    assert min(reported[1:]) >= 0.75 * WORK_S
-
-
-def test_a_burst_of_a_route_with_large_work_is_no_slowdown() -> None:
-    """Guards against comparing the work of different requests."""
-    model = ServerModel(compute_flat, state_usual, 0.95, large_share=burst)
-    model.simulate(20.0)
-    assert {limit for _, limit in model.limits} == {MAX_LIMIT}
-
-
-def test_the_knee_is_found_although_the_server_was_never_less_than_saturated() -> None:
-    """Guards against a baseline that is the work time of an overloaded server."""
-    model = ServerModel(compute_thrashing, state_usual, initial_share=1.0)
-    model.simulate(20.0)
-    assert model.compute_share(40, 56, 12.0, 20.0) >= MIN_SHARE
+    model = ServerModel("none", pace, 0.8)
+    model.simulate(1)
+    assert model.learned.work_s >= 0.75 * WORK_S
 
 
 def test_a_limit_between_work_that_gives_the_same_costs_no_throughput() -> None:
     """Guards against a search that goes on where no limit is better than another."""
-    learning = ServerModel(compute_saturated, state_usual)
-    learning.simulate(20.0)
-    fixed = ServerModel(compute_saturated, state_nothing)
-    fixed.simulate(20.0)
+    learning, fixed = ServerModel("saturated"), ServerModel("saturated", "none")
+    learning.simulate(1)
+    fixed.simulate(1)
     assert len(learning.limits) >= 0.97 * len(fixed.limits)
     assert {limit for _, limit in fixed.limits} == {MAX_LIMIT}
 
