--- a/packages/policies/src/cassiahatch_policies/learned_limit.py
+++ b/packages/policies/src/cassiahatch_policies/learned_limit.py
@@ -47,6 +47,8 @@
 MIN_TRIAL_RUNS = 60
 """Runs that decide a trial which took ``TRIAL_TIMEOUT_S``."""
 TRIAL_TIMEOUT_S = 1.0
+"""Longest time of a trial from when its runs count, half of that in which a server must
+have its slots back after a slowdown."""
 SLOWER_FACTOR = 1.2
 """Multiple of the baseline from which a lower limit is tried, above the noise of the
 means and below the slowdown of 1.3 of known servers."""
@@ -56,7 +58,7 @@
 """Least factor of the limit in one trial."""
 KEPT_SHARE = 0.95
 """Share of the throughput that a lower limit must keep. One that only takes slots away
-keeps at most ``EXPLORING_FACTOR`` of it."""
+keeps at most ``1 / SLOWER_FACTOR`` of it."""
 SEARCH_STEP = 0.1
 """Step of the limit, as a share, below which the search for the knee ends. Smaller
 steps are lost in the noise."""
