Weigh crowded servers more in placement by work time

Cause: by work time times utilization, nodes put requests on the last free slots of the fastest servers from reports that are some requests old. Change: the share of slots above 0.7 counts threefold.

--- a/packages/policies/src/cassiahatch_policies/placement.py
+++ b/packages/policies/src/cassiahatch_policies/placement.py
@@ -30,8 +30,11 @@
 """Consecutive failures after which a backend server that still responds is ejected."""
 COLD_SLOT_SHARE = 0.5
 """Share of its slots that a backend server is given just after its start."""
-
-
+CROWDED_SHARE = 0.7
+CROWDED_WEIGHT = 2.0
+"""Share of the slots in use above which a server's cost rises faster, and by how much.
+Load reports are some requests old, so that the last free slots of the fastest server are
+given to several requests at once."""
 FAILURE_RATE_WEIGHT = 0.05
 """Weight of the newest outcome in the failure rate of a backend server."""
 OUTLIER_FAILURE_RATE = 0.1
@@ -140,7 +143,10 @@
         Of servers at equal cost, one that is twice as fast runs twice as many requests
         at a time. An idle one still has a cost, so that the fastest idle one is chosen.
         """
-        return work_ms * (utilization + 1 / (self.load.limit or self.slots or 1))
+        crowding = CROWDED_WEIGHT * max(0.0, utilization - CROWDED_SHARE)
+        return work_ms * (
+            utilization + 1 / (self.load.limit or self.slots or 1) + crowding
+        )
 
 
 def is_outlier(endpoint: Endpoint, endpoints: Iterable[Endpoint]) -> bool:
