--- a/packages/node/src/cassiahatch_node/observability/metrics.py
+++ b/packages/node/src/cassiahatch_node/observability/metrics.py
@@ -28,13 +28,17 @@
         self._samples = 0
         self.counters: Counter[str] = Counter()
         self.gauges: dict[str, float] = {}
-        """Current values; their names end with the unit."""
+        """Current values; a name may end with a colon and a code."""
         self.histograms: dict[str, HdrHistogram] = {}
 
     def count(self, name: str, amount: int = 1) -> None:
         """Increment a counter."""
         self.counters[name] += amount
 
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a gauge, a value that may also fall."""
+        self.gauges[name] = value
+
     def sample(self, name: str, seconds: float) -> None:
         """Record one latency in ``SAMPLE_INTERVAL``; for latencies of every call."""
         self._samples += 1
@@ -57,7 +61,9 @@
             label = f'{{code="{code}"}}' if code else ""
             lines.append(f"cassiahatch_{family}_total{label} {value}")
         for name, value in sorted(self.gauges.items()):
-            lines.append(f"cassiahatch_{name} {value:g}")
+            family, _, code = name.partition(":")
+            label = f'{{code="{code}"}}' if code else ""
+            lines.append(f"cassiahatch_{family}{label} {value:g}")
         for name, histogram in sorted(self.histograms.items()):
             metric = f"cassiahatch_{name}_seconds"
             for quantile in QUANTILES:
