Name the cause of answer_memory_full in the explanation

`cassiahatch explain` had no text for the new reason, so test_every_reason_has_a_cause_text failed. It still fails: `unknown_key` and `unknown_parent`, added with the tenants, have no text either.

--- a/packages/operator/src/cassiahatch_operator/explanation.py
+++ b/packages/operator/src/cassiahatch_operator/explanation.py
@@ -44,6 +44,7 @@
     Reason.BACKEND_LOST: "the backend server broke off while it ran",
     Reason.BACKEND_GARBLED: "the backend server's answer was not whole or not its own",
     Reason.BACKEND_ENDLESS: "the backend server's answer went beyond the bounds",
+    Reason.ANSWER_MEMORY_FULL: "no memory to keep the answer until earlier ones were sent",
     Reason.QUARANTINED: "the request has crashed backend servers",
     Reason.DEADLINE: "no answer came before the deadline",
     Reason.ROUTE_TIMEOUT: "no answer came within the route's timeout",
