--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -205,7 +205,7 @@
     # requests are rejected below the limit
     (do_nothing, 0.85, 0.0),
     (do_nothing, 6.0, 0.0),
-    (kill_keeper, 0.6, TENURE_S + CLAIM_S),
+    (kill_keeper, 0.85, TENURE_S + CLAIM_S),
     (kill_keeper, 6.0, 0.0),
     (restart_keeper, 0.85, 3.0),
     (restart_keeper, 6.0, 0.0),
@@ -214,7 +214,7 @@
     (release_keeper, 0.85, 1.0),
     (lose_store, 0.85, 0.0),
     (lose_store_for_long, 6.0, 0.0),
-    (cut_keeper_from_store, 0.6, TENURE_S + CLAIM_S),
+    (cut_keeper_from_store, 0.85, TENURE_S + CLAIM_S),
 ]
 SECONDS = 30.0
 FAULT_AT_S = 8.0
@@ -263,7 +263,7 @@
             before = fleet.store.version
             await asyncio.sleep(20.0)
             writes = fleet.store.version - before
-            assert 30 <= writes <= 42
+            assert 36 <= writes <= 42
             keys = {row.key for row in fleet.store.read(KEEPER_TABLE, 0).rows}
             assert len(keys) == 8
 
