--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -206,6 +206,8 @@
         self.rows: dict[tuple[str, str, str], tuple[str, int]] = {}
         self._changes: list[tuple[int, str, str, str]] = []
         self._version = 1
+        self.era: int | None = None
+        """Number in the header ``Store-Era``; None if the store sends none."""
         self._changed = asyncio.Condition()
         self.before_answer: Callable[[Message], Awaitable[bool]] | None = None
         """Called with each request; if it returns False the connection is closed."""
@@ -232,6 +234,19 @@
         await self.put("op", "config", json.dumps(configuration).encode())
         self._record.note(f"operator: {configuration['version']} is acknowledged")
 
+    def copy(self) -> tuple[Any, ...]:
+        """Return a copy of the rows and of the history."""
+        return dict(self.rows), self._version, list(self._changes)
+
+    async def return_from(self, copy: tuple[Any, ...]) -> None:
+        """Come back from an older copy: what was written since is gone."""
+        async with self._changed:
+            rows, self._version, changes = copy
+            self.rows, self._changes = dict(rows), list(changes)
+            self.era = (self.era or 0) + 1
+            self._changed.notify_all()
+        self._record.note(f"store: comes back from an older copy, era {self.era}")
+
     def read(self, table: str, key: str) -> Any:
         """Return the decoded JSON value of a row, or None."""
         row = self.rows.get((table, "", key))
@@ -276,6 +291,8 @@
                 status, body = 404, {}
         body = {"ver": self._version, "now_s": time.monotonic(), **body}
         headers = {"Content-Type": "application/json"}
+        if self.era is not None:
+            headers["Store-Era"] = str(self.era)
         return render_response(status, headers, json.dumps(body).encode())
 
     async def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
@@ -380,13 +397,17 @@
 
     def close(self) -> None:
         """End as a crash does: nothing is said, and all connections are reset."""
-        for task in self._tasks:
-            task.cancel()
+        self.stop_heartbeats()
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def stop_heartbeats(self) -> None:
+        """Send no more heartbeats."""
+        for task in self._tasks:
+            task.cancel()
+
     async def heartbeat(self, **overrides: Any) -> int | None:
         """Send a heartbeat, and return the status; None without an answer."""
         body = {
