Case 7: the tenant keeps its quota

The 60 requests are within the burst of the quota, so that nothing but the configuration is out of the ordinary.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -21,14 +21,17 @@
     run_case,
 )
 
-TENANTS = {"acme": {"api_keys": ["key-of-acme"], "rate_per_s": 50, "burst": 10}}
+TENANTS = {"acme": {"api_keys": ["key-of-acme"], "rate_per_s": 50, "burst": 100}}
 BOUNDS = {"quota_window_s": 5, "quota_over": 0.1, "quota_slack": 20, "grace_s": 6}
 LOSS_SLACK_S = 0.2
 CONFIG_S = 2.0
-REQUESTS_PER_S = 80
-SENDING_S = 3.0
-CHANGE_AFTER_S = 1.5
-"""Time from the first request to the configuration that drops their route."""
+BATCH = 60
+"""Requests sent at once: far fewer than the burst that the quota allows."""
+CHANGE_AFTER_S = 0.3
+"""Time from the batch to the configuration that drops its route."""
+LATER_REQUESTS = 20
+LATER_PER_S = 10
+"""Requests that follow, well below the rate of the quota."""
 DEADLINE_S = 5.0
 
 
@@ -51,13 +54,13 @@
     await node.process.wait()
     await node.start(first_start=False)
     await node.wait_ready()
-    await asyncio.sleep(1.6)
+    await asyncio.sleep(0.5)
 
     cuts: list[tuple[float, float]] = []
     outcomes: dict[str, int] = {}
 
-    async def send(number: int) -> None:
-        await asyncio.sleep(number / REQUESTS_PER_S)
+    async def send(number: int, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
         request_id = f"{random.getrandbits(64):016x}"
         headers = {
             "Host": "h.example",
@@ -75,8 +78,12 @@
         if answer is None and LOSS_SLACK_S < spent_s < 0.7 * DEADLINE_S:
             cuts.append((sent_at, sent_at + spent_s))
 
-    count = int(REQUESTS_PER_S * SENDING_S)
-    tasks = [asyncio.create_task(send(number)) for number in range(count)]
+    delays_s = [0.0] * BATCH
+    delays_s += [1.0 + number / LATER_PER_S for number in range(LATER_REQUESTS)]
+    tasks = [
+        asyncio.create_task(send(number, delay_s))
+        for number, delay_s in enumerate(delays_s)
+    ]
     await asyncio.sleep(CHANGE_AFTER_S)
     changed_at = time.monotonic()
     if has_trouble:
