--- a/review/7/case.py
+++ b/review/7/case.py
@@ -24,7 +24,7 @@
 TENANTS = {"acme": {"api_keys": ["key-of-acme"], "rate_per_s": 50, "burst": 100}}
 BOUNDS = {"quota_window_s": 5, "quota_over": 0.1, "quota_slack": 20, "grace_s": 6}
 LOSS_SLACK_S = 0.2
-CONFIG_S = 2.0
+CONFIG_S = 2.5
 BATCH = 60
 """Requests sent at once: far fewer than the burst that the quota allows."""
 CHANGE_AFTER_S = 0.3
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -24,7 +24,7 @@
     run_case,
 )
 
-DRAIN_S = 2.0
+DRAIN_S = 2.5
 COPY_AGE_S = 1.0
 """Age of the store's copy when the upstream leaves."""
 RESTART_AFTER_S = 0.3
