Case 10: a departure that heartbeats sent before it undo

An upstream is added and taken away 2.5 s later; its heartbeats take 4 s. Its leave is acknowledged, the heartbeats arrive after that, and the node registers it as ready: over 800 requests reach it later than drain_s after the acknowledgement, for as long as it runs (DRAIN).

AnnouncementHandler.handle_leave acknowledges the leave of an instance that it does not know and records nothing; the leave's born is not read.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""Many clients at once, each of which sends one head of many short fields slowly."""
+"""An added upstream leaves before its first heartbeats, which are late, have arrived."""
 
 from __future__ import annotations
 
@@ -14,159 +14,130 @@
 from lab import (  # noqa: E402
     CannotRunError,
     Node,
+    Record,
     Site,
+    Upstream,
     exchange,
     find_route,
     make_configuration,
-    read_message,
     render_request,
     run_case,
-    split,
 )
 
-MEMORY_MB = 200
-"""The smallest machine of the pages' deployments."""
-MAX_HEADER_BYTES = 16_384
-"""The limit of the configuration."""
-HEADER_TIMEOUT_S = 3.0
-CLIENTS = 1200
-FIELDS = 3000
-"""Fields of a head. Each has a name of one letter and no value."""
-FIELD = b"a:\r\n"
-SECOND_PART_S = 2.0
-"""Time from the first part of a head to its end, within the header timeout."""
-WAVES = 3
-WAVE_S = 5.0
-POLL_S = 0.01
-RESTART_S = 0.5
-"""Short delay after which the platform starts an ended process again."""
-
-
-class Platform:
-    """Kills a process that exceeds its memory and starts it again, as DEPLOY.md says."""
-
-    def __init__(self, site: Site, node: Node) -> None:
-        self._site = site
-        self._node = node
-        self.ends = 0
-        self.peak_mb = 0.0
-
-    async def run(self) -> None:
-        """Watch the process until cancelled."""
-        node, record = self._node, self._site.record
-        while True:
-            await asyncio.sleep(POLL_S)
-            try:
-                used_mb = node.read_memory_mb()
-            except (OSError, TypeError):
-                used_mb = 0.0
-            self.peak_mb = max(self.peak_mb, used_mb)
-            if node.is_running and used_mb <= MEMORY_MB:
-                continue
-            self.ends += 1
-            record.note(
-                f"{node.node_id}: {used_mb:.0f} MB of {MEMORY_MB} MB, is killed"
-                if node.is_running
-                else f"{node.node_id}: ended with {node.process.returncode}"
-            )
-            await node.kill()
-            await asyncio.sleep(RESTART_S)
-            await node.start(first_start=False)
-
-
-async def use(node: Node, is_long: bool) -> None:
-    """Send one request whose head comes in two parts, and read the answer."""
-    lines = (
-        "GET /read/1 HTTP/1.1",
-        "Host: h.example",
-        f"Cassiahatch-Request-Id: {random.getrandbits(64):016x}",
-        "Cassiahatch-Deadline-Ms: 5000",
-    )
-    head = "\r\n".join(lines).encode() + b"\r\n" + FIELD * (FIELDS if is_long else 1)
-    if len(head) > MAX_HEADER_BYTES:
-        raise CannotRunError("the head is longer than the limit")
-    try:
-        reader, writer = await asyncio.open_connection(*split(node.clients))
-    except OSError:
-        return
-    try:
-        writer.write(head)
-        await writer.drain()
-        await asyncio.sleep(SECOND_PART_S)
-        writer.write(b"\r\n")
-        await read_message(reader)
-    except (OSError, EOFError, asyncio.IncompleteReadError):
-        pass
-    finally:
-        writer.transport.abort()
+DRAIN_S = 2.5
+HEARTBEAT_S = 1.5
+LATE_S = 4.0
+"""Time that each heartbeat of the added upstream is on its way."""
+LEAVE_AFTER_S = 2.5
+"""Time from the upstream's start to its departure."""
+STAY_S = 10.0
+"""Time for which the upstream serves after the acknowledgement: at times many seconds."""
+CLIENTS = 12
+"""Clients at each machine."""
+WORK_S = 0.05
+
+
+async def ask(record: Record, node: Node) -> int | None:
+    """Send a request to a node as a client beside it; return the status."""
+    headers = {
+        "Host": "h.example",
+        "Cassiahatch-Request-Id": f"{random.getrandbits(64):016x}",
+        "Cassiahatch-Deadline-Ms": "2000",
+    }
+    data = render_request("GET", "/read/1", headers)
+    answer = await exchange(node.clients, data, 3.0)
+    status = None if answer is None else answer.status
+    request_id = headers["Cassiahatch-Request-Id"]
+    record.note(f"client: {request_id} at {node.node_id} is answered {status}")
+    return status
+
+
+class AddedUpstream:
+    """Announces an upstream with heartbeats that take a given time to arrive."""
+
+    def __init__(self, site: Site, upstream: Upstream, delay_s: float) -> None:
+        self._record = site.record
+        self._upstream = upstream
+        self._delay_s = delay_s
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def _deliver(self, number: int) -> None:
+        await asyncio.sleep(self._delay_s)
+        status = await self._upstream.heartbeat()
+        name = self._upstream.instance
+        self._record.note(f"{name}: heartbeat {number} arrives, is answered {status}")
+
+    async def announce(self, seconds: float) -> None:
+        """Send heartbeats for a time; those that are on their way still arrive."""
+        ends_at = time.monotonic() + seconds
+        number = 0
+        while (rest_s := ends_at - time.monotonic()) > 0:
+            number += 1
+            self._record.note(f"{self._upstream.instance}: sends heartbeat {number}")
+            self._tasks.append(asyncio.create_task(self._deliver(number)))
+            await asyncio.sleep(min(HEARTBEAT_S, rest_s))
 
 
 async def play(site: Site, has_trouble: bool) -> bool:
-    """Return whether less than two machines had three ends of their own."""
-    record = site.record
-    nodes = [site.add_node("books"), site.add_node("shop", "z-2")]
+    """Return whether the upstream got no request later than ``DRAIN_S`` after the ack."""
+    record, store = site.record, site.store
+    nodes = [site.add_node("books"), site.add_node("books", "z-2")]
     for node in nodes:
-        node.fields["limits"] = {"memory_mb": MEMORY_MB}
-        upstream = site.make_upstream(node)
-        upstream.verbose = False
-    routes = {
-        "read": find_route("read", "books"),
-        "list": find_route("list", "shop"),
-    }
-    await site.store.configure(make_configuration(1, routes))
+        site.make_upstream(node, work_s=WORK_S)
+    await store.configure(make_configuration(1, {"read": find_route("read", "books")}))
     for node, upstream in zip(nodes, site.upstreams, strict=True):
         await node.start()
         await upstream.start()
     for node in nodes:
         await node.wait_ready()
-    await asyncio.sleep(3.0)
-
-    platforms = [Platform(site, node) for node in nodes]
-    watches = [asyncio.create_task(platform.run()) for platform in platforms]
-    for wave in range(WAVES):
-        for node in nodes:
-            await node.wait_ready()
-        await asyncio.sleep(1.0)
-        record.note(f"wave {wave + 1}: {CLIENTS} clients at each machine")
-        before = [platform.ends for platform in platforms]
-        tasks = [
-            asyncio.create_task(use(node, has_trouble))
-            for _ in range(CLIENTS)
-            for node in nodes
-        ]
-        ends_at = time.monotonic() + WAVE_S
-        while time.monotonic() < ends_at and not all(
-            platform.ends > count
-            for platform, count in zip(platforms, before, strict=True)
-        ):
+    await asyncio.sleep(4.0)
+
+    statuses: dict[int | None, int] = {}
+
+    async def use(node: Node) -> None:
+        while True:
+            status = await ask(record, node)
+            statuses[status] = statuses.get(status, 0) + 1
             await asyncio.sleep(0.05)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-    for node in nodes:
-        await node.wait_ready()
-    data = render_request(
-        "GET",
-        "/read/1",
-        {"Host": "h.example", "Cassiahatch-Request-Id": f"{random.getrandbits(64):x}"},
+
+    clients = [asyncio.create_task(use(node)) for node in nodes for _ in range(CLIENTS)]
+
+    # Planned work in both plays: a machine with an upstream is added, and is taken away.
+    node = site.add_node("books", "z-3")
+    added = site.make_upstream(node, work_s=WORK_S)
+    await node.start()
+    await node.wait_ready()
+    clients += [asyncio.create_task(use(node)) for _ in range(CLIENTS)]
+    await asyncio.sleep(1.0)
+    await added.listen()
+    started_at = time.monotonic()
+    record.note(f"{added.instance}: starts")
+    announcing = AddedUpstream(site, added, LATE_S if has_trouble else 0.0)
+    await announcing.announce(LEAVE_AFTER_S)
+    status = await added.leave()
+    acknowledged_at = time.monotonic()
+    record.note(f"{added.instance}: says that it leaves, is answered {status}")
+    if status != 200:
+        raise CannotRunError("the departure was not acknowledged")
+
+    await asyncio.sleep(STAY_S)
+    for client in clients:
+        client.cancel()
+    early = sum(started_at < at <= acknowledged_at for at, _, _ in added.runs)
+    late_s = [
+        at - acknowledged_at
+        for at, _, _ in added.runs
+        if at > acknowledged_at + DRAIN_S
+    ]
+    record.note(f"clients: {statuses}")
+    record.note(
+        f"{added.instance}: {early} requests before the acknowledgement, {len(late_s)} "
+        f"later than {DRAIN_S} s after it"
+        + (f", from {min(late_s):.1f} to {max(late_s):.1f} s" if late_s else "")
     )
-    answer = None
-    for _ in range(20):
-        answer = await exchange(nodes[0].clients, data)
-        if answer is not None and answer.status == 200:
-            break
-        await asyncio.sleep(0.5)
-    record.note(f"afterwards a request is answered {answer and answer.status}")
-    for watch in watches:
-        watch.cancel()
-    for node, platform in zip(nodes, platforms, strict=True):
-        record.note(
-            f"{node.node_id}: {platform.ends} ends of its own, "
-            f"at most {platform.peak_mb:.0f} MB seen"
-        )
-    if any(watch.done() and not watch.cancelled() for watch in watches):
-        raise CannotRunError("a watch ended")
-    return sum(platform.ends >= 3 for platform in platforms) < 2
-
-
-run_case(FOLDER, 2, play)
+    if not has_trouble and not early:
+        raise CannotRunError("the added upstream served nothing")
+    return not late_s
+
+
+run_case(FOLDER, 3, play)
--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -396,9 +396,13 @@
 
     async def start(self) -> None:
         """Listen, and send heartbeats."""
-        self._server = await asyncio.start_server(self._serve, *split(self.address))
+        await self.listen()
         self._tasks.append(asyncio.create_task(self._beat()))
 
+    async def listen(self) -> None:
+        """Listen without a word to the node."""
+        self._server = await asyncio.start_server(self._serve, *split(self.address))
+
     def close(self) -> None:
         """End as a crash does: nothing is said, and all connections are reset."""
         self.stop_heartbeats()
