Serve a request that waited for its unit by the version in force after the wait

Cause: Egress.serve was given the rule found before the wait, and asked the route table in force after it for the rule's name: connection_failed, KeyError. The same cause let a key that was withdrawn during the wait still work, and one that had gone to another team, and outlived a lease or a deadline that ended meanwhile. A pipelined request has a version between routing and sending without any quota.

Change: the routes and teams of a version are one object, a Ruleset. A request carries the one by which it was decoded and routed. After a wait for a unit it is admitted anew by the one in force; if it is rejected then, the unit is given back, and it has not run. Payment moves from Egress to FrontEnd, which admits.

It works since no decision is looked up again in another version: either the version of the decision is at hand, or all of it is decided again.

--- a/packages/kernel/src/cassiahatch_kernel/exchanges.py
+++ b/packages/kernel/src/cassiahatch_kernel/exchanges.py
@@ -36,6 +36,9 @@
     """The call belongs to no run that the node knows, and carries no key."""
     CONFIGURATION_EXPIRED = "configuration_expired"
     """The configuration in force may be too old to decide whether a key is still valid."""
+    CONFIGURATION_CHANGED = "configuration_changed"
+    """While the request waited for a unit of its team's quota, its key was given to
+    another team."""
     QUOTA_EXCEEDED = "quota_exceeded"
     """The team has used up its quota."""
     QUOTA_UNKNOWN = "quota_unknown"
--- a/packages/node/src/cassiahatch_node/mesh/client_requests.py
+++ b/packages/node/src/cassiahatch_node/mesh/client_requests.py
@@ -6,6 +6,7 @@
 
 from cassiahatch_kernel.exchanges import Rejection, Reply, Request, Result
 from cassiahatch_kernel.routes import RouteRule
+from cassiahatch_kernel.rulesets import Ruleset
 from cassiahatch_policies.pipelining import Place
 
 
@@ -15,6 +16,8 @@
     request: Request
     route: RouteRule | Rejection
     """The route, or the rejection of a request that has none."""
+    rules: Ruleset | None
+    """Routes and teams by which it was decoded and routed; None if there were none."""
     is_checked: bool
     """Whether it was admitted before its body was read."""
     keeps_alive: bool
--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -18,8 +18,8 @@
     Result,
 )
 from cassiahatch_kernel.members import Member
-from cassiahatch_kernel.routes import RouteRule, RouteTable
-from cassiahatch_kernel.teams import TeamTable
+from cassiahatch_kernel.routes import RouteRule
+from cassiahatch_kernel.rulesets import Ruleset
 from cassiahatch_node.mesh.call_graph import CallGraph
 from cassiahatch_node.mesh.crash_watch import CrashWatch
 from cassiahatch_node.mesh.directory import Directory
@@ -28,7 +28,6 @@
 from cassiahatch_node.mesh.lease import LeaseWatch
 from cassiahatch_node.mesh.request_state import RequestState, combine_results
 from cassiahatch_node.mesh.spans import Hop, Spans, format_result
-from cassiahatch_node.mesh.team_quotas import TeamQuotas
 from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_policies.identification import (
     Identity,
@@ -38,7 +37,6 @@
 from cassiahatch_policies.placement import Endpoint, is_outlier
 from cassiahatch_policies.positions import compute_position
 from cassiahatch_policies.retry_budget import allows_retry
-from cassiahatch_policies.team_quota import Grant
 
 MS_PER_S = 1000
 EDGE_RETRY_AFTER_S = (0.4, 1.6)
@@ -48,8 +46,6 @@
 deadlines."""
 MAX_ATTEMPTS = 8
 """Limit on attempts for one request; the retry budget stops most requests earlier."""
-NOT_READY_RETRY_AFTER_S = 0.5
-"""``Retry-After`` sent while the node has no configuration."""
 NO_MEMBER_RETRY_AFTER_S = 0.25
 """``Retry-After`` sent while no backend server of the service is available."""
 MIN_FAILURE_STATUS = 500
@@ -113,85 +109,57 @@
         self._crashes = crashes
         self._metrics = metrics
         self._journal = journal
-        self.table: RouteTable | None = None
-        """The current routes; None until the node has received a configuration."""
-        self.teams = TeamTable()
-        """Teams of the configuration in force."""
+        self.rules: Ruleset | None = None
+        """Routes and teams in force; None until the node has received a
+        configuration."""
         self.lease: LeaseWatch | None = None
         """The lease on the configuration; None if keys need no revocation in bounded
         time."""
-        self.quotas: TeamQuotas | None = None
-        """Enforces the quotas of teams; None if they are not enforced."""
         self.is_ending = False
         """Whether the process ends, so that nothing is sent any more."""
 
-    def find_route(self, request: Request) -> RouteRule | Rejection:
-        """Return the route of a request, or a rejection if there is none."""
-        table = self.table
-        if table is None:
-            return Rejection(Reason.NO_CONFIGURATION, NOT_READY_RETRY_AFTER_S)
-        return table.find(request.host, request.target) or Rejection(Reason.NO_ROUTE)
-
-    def identify(self, request: Request, rule: RouteRule) -> Identity | Rejection:
+    def identify(
+        self, request: Request, rules: Ruleset, rule: RouteRule
+    ) -> Identity | Rejection:
         """Return whose request it is and its rank, or a rejection.
 
         A call of a run at the local backend server belongs to the team of that run.
         A key counts only while the configuration lease holds.
         """
-        match self._find_identity(request, rule):
+        match self._find_identity(request, rules, rule):
             case Identity(has_key=True) as identity if self.lease is not None:
                 return self.lease.find_rejection() or identity
             case result:
                 return result
 
-    def _find_identity(self, request: Request, rule: RouteRule) -> Identity | Rejection:
+    def _find_identity(
+        self, request: Request, rules: Ruleset, rule: RouteRule
+    ) -> Identity | Rejection:
         if not request.parent:
-            return identify_request(self.teams, rule, request.api_key)
+            return identify_request(rules.teams, rule, request.api_key)
         parent = self._ingress.running.get(request.parent)
         if parent is None and request.api_key:
-            return identify_request(self.teams, rule, request.api_key)
+            return identify_request(rules.teams, rule, request.api_key)
         parent_call = None if parent is None else parent.call
-        return identify_call(self.teams, rule, parent_call)
+        return identify_call(rules.teams, rule, parent_call)
 
     async def serve(
-        self, request: Request, rule: RouteRule, identity: Identity
+        self, request: Request, rules: Ruleset, rule: RouteRule, identity: Identity
     ) -> Result:
         """Send an admitted request from a local client and return its result.
 
-        The quota is checked last, so that it pays for no request that is rejected before.
+        Parameters
+        ----------
+        rules : Ruleset
+            Routes and teams by which it was admitted, of which ``rule`` is one.
         """
-        paid = await self._pay(request, identity)
-        if isinstance(paid, Rejection):
-            return paid
-        state = self._create_state(request, rule, identity)
+        state = self._create_state(request, rules, rule, identity)
         result = await self._send_with_retries(state)
-        if isinstance(paid, Grant) and isinstance(result, Rejection):
-            self.quotas.give_back(identity.team, paid)
         if self._spans.is_sampled(state.position):
             spent_s = self._clock.monotonic() - request.arrived
             self._spans.write(Hop.REQUEST, request.id, spent_s, result, route=rule.name)
         return result
 
-    async def _pay(
-        self, request: Request, identity: Identity
-    ) -> Grant | Rejection | bool:
-        """Pay for a request out of its team's quota, or return its rejection."""
-        if self.quotas is None or not identity.has_key:
-            return True
-        paid = self.quotas.try_admit(identity.team)
-        if paid is not False:
-            return paid
-        outcome = await self.quotas.wait_for_unit(identity.team)
-        if isinstance(outcome, Rejection):
-            self._journal.trace(
-                "refused_by_quota",
-                request=request.id,
-                reason=outcome.reason,
-                team=identity.team,
-                retry_after_s=round(outcome.retry_after_s, 3),
-            )
-        return outcome
-
     def find_overload(
         self, request: Request, rule: RouteRule, identity: Identity
     ) -> Rejection | None:
@@ -220,7 +188,7 @@
         return None
 
     def _create_state(
-        self, request: Request, rule: RouteRule, identity: Identity
+        self, request: Request, rules: Ruleset, rule: RouteRule, identity: Identity
     ) -> RequestState:
         root_target_at = compute_target(request, rule)
         parent = self._ingress.running.get(request.parent) if request.parent else None
@@ -232,7 +200,7 @@
         return RequestState(
             request,
             rule,
-            self.table.choose_service(rule),
+            rules.routes.choose_service(rule),
             compute_expiry(request, rule),
             identity.rank,
             compute_position(identity.rank, request.root),
--- a/packages/node/src/cassiahatch_node/mesh/front_end.py
+++ b/packages/node/src/cassiahatch_node/mesh/front_end.py
@@ -17,6 +17,7 @@
     Result,
 )
 from cassiahatch_kernel.routes import RouteRule
+from cassiahatch_kernel.rulesets import Ruleset
 from cassiahatch_node.mesh.answer_memory import AnswerMemory
 from cassiahatch_node.mesh.client_connection import (
     STOPPING_RETRY_AFTER_S,
@@ -32,18 +33,24 @@
 from cassiahatch_node.mesh.egress import Egress, compute_expiry
 from cassiahatch_node.mesh.http_messages import RawRequest
 from cassiahatch_node.mesh.journal import Journal
+from cassiahatch_node.mesh.team_quotas import TeamQuotas
 from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_policies.identification import Identity
+from cassiahatch_policies.team_quota import Grant
 
 DEFAULT_WAIT_S = 60.0
 """Time for which a client that names no deadline is taken to wait for its answer."""
 DEFAULT_RETRY_AFTER_S = 0.2
 """``Retry-After`` of a rejection that gives no time of its own."""
+NOT_READY_RETRY_AFTER_S = 0.5
+"""``Retry-After`` sent while the node has no configuration."""
 
 
 class Admission(msgspec.Struct, frozen=True):
     """The route and the identity of a request that may be served."""
 
+    rules: Ruleset
+    """Routes and teams by which it was admitted."""
     rule: RouteRule
     identity: Identity
 
@@ -82,14 +89,17 @@
         self._compute_earliest_sending = compute_earliest_sending
         self.stop_admission: Any = None
         """The plug-in that admits requests while the node stops; None before."""
+        self.quotas: TeamQuotas | None = None
+        """Enforces the quotas of teams; None if they are not enforced."""
 
     def check(self, raw: RawRequest) -> Rejection | None:
         """Return why a request whose head has been read can't be served, or None."""
+        rules = self._egress.rules
         try:
-            request = self._decode(raw)
+            request = self._decode(raw, rules)
         except BadRequestError:
             return Rejection(Reason.BAD_REQUEST)
-        match self._admit(request, self._egress.find_route(request)):
+        match self._admit(request, rules, find_route(request, rules)):
             case Rejection() as rejection:
                 return rejection
             case _:
@@ -97,12 +107,13 @@
 
     def route(self, raw: RawRequest) -> ClientRequest:
         """Decode a request and find its route, without any effect."""
+        rules = self._egress.rules
         try:
-            request = self._decode(raw)
+            request = self._decode(raw, rules)
         except BadRequestError as error:
             return InvalidRequest(str(error))
-        route = self._egress.find_route(request)
-        return RoutedRequest(request, route, raw.is_checked, raw.keeps_alive)
+        route = find_route(request, rules)
+        return RoutedRequest(request, route, rules, raw.is_checked, raw.keeps_alive)
 
     async def answer(self, routed: ClientRequest) -> Answer:
         """Serve a request, and return what to send to its client."""
@@ -112,9 +123,9 @@
                 return Answer(None, Rejection(Reason.BAD_REQUEST))
             case RoutedRequest(request=request):
                 pass
-        match self._admit(request, routed.route, routed.is_checked):
-            case Admission(rule=rule, identity=identity):
-                result = await self._egress.serve(request, rule, identity)
+        match self._admit(request, routed.rules, routed.route, routed.is_checked):
+            case Admission() as admission:
+                result = await self._serve(request, admission)
             case rejection:
                 result = rejection
         # Its memory is released now, while the answer may still wait to be sent.
@@ -160,7 +171,8 @@
         try:
             request = None
             if raw is not None:
-                request = self._dialect.decode_request(raw, self._has_teams)
+                rules = self._egress.rules
+                request = self._dialect.decode_request(raw, has_teams(rules))
         except BadRequestError:
             request = None
         if request is not None:
@@ -185,11 +197,7 @@
             pending_bytes=pending_bytes,
         )
 
-    @property
-    def _has_teams(self) -> bool:
-        return self._egress.teams.has_teams
-
-    def _decode(self, raw: RawRequest) -> Request:
+    def _decode(self, raw: RawRequest, rules: Ruleset | None) -> Request:
         """Decode a request, dated to when its client may have sent it.
 
         Raises
@@ -197,17 +205,92 @@
         BadRequestError
             If the request lacks a required header or value.
         """
-        request = self._dialect.decode_request(raw, self._has_teams)
+        request = self._dialect.decode_request(raw, has_teams(rules))
         request.arrived = self._compute_earliest_sending(raw.arrived)
         return request
 
+    async def _serve(self, request: Request, admission: Admission) -> Result:
+        """Serve an admitted request once its team's quota has paid for it.
+
+        The quota is checked last, so that it pays for no request that is rejected before.
+        """
+        team = admission.identity.team
+        paid = self._try_pay(admission.identity)
+        if paid is False:
+            paid = await self._wait_for_unit(request, team)
+            if isinstance(paid, Rejection):
+                return paid
+            match self._admit_again(request, team):
+                case Admission() as admission:
+                    pass
+                case rejection:
+                    self.quotas.give_back(team, paid)
+                    return rejection
+        result = await self._egress.serve(
+            request, admission.rules, admission.rule, admission.identity
+        )
+        if isinstance(paid, Grant) and isinstance(result, Rejection):
+            self.quotas.give_back(team, paid)
+        return result
+
+    def _try_pay(self, identity: Identity) -> Grant | bool:
+        """Pay for a request if that needs no waiting; True if it needs no unit."""
+        if self.quotas is None or not identity.has_key:
+            return True
+        return self.quotas.try_admit(identity.team)
+
+    async def _wait_for_unit(self, request: Request, team: str) -> Grant | Rejection:
+        outcome = await self.quotas.wait_for_unit(team)
+        if isinstance(outcome, Rejection):
+            self._journal.trace(
+                "refused_by_quota",
+                request=request.id,
+                reason=outcome.reason,
+                team=team,
+                retry_after_s=round(outcome.retry_after_s, 3),
+            )
+        return outcome
+
+    def _admit_again(self, request: Request, team: str) -> Admission | Rejection:
+        """Admit a request that has waited, by what is in force after the wait.
+
+        Meanwhile its route may have been moved or removed, its key withdrawn, and its
+        deadline or the configuration lease may have passed.
+
+        Parameters
+        ----------
+        team : str
+            The team whose quota has paid for the request.
+        """
+        rules = self._egress.rules
+        match self._admit(request, rules, find_route(request, rules), is_checked=True):
+            case Admission(identity=Identity(has_key=True, team=name)) if name != team:
+                outcome = Rejection(Reason.CONFIGURATION_CHANGED, DEFAULT_RETRY_AFTER_S)
+            case outcome:
+                pass
+        if isinstance(outcome, Rejection):
+            self._journal.trace(
+                "refused_after_wait",
+                request=request.id,
+                reason=outcome.reason,
+                team=team,
+                version=rules.routes.version,
+            )
+        return outcome
+
     def _admit(
-        self, request: Request, route: RouteRule | Rejection, is_checked: bool = False
+        self,
+        request: Request,
+        rules: Ruleset | None,
+        route: RouteRule | Rejection,
+        is_checked: bool = False,
     ) -> Admission | Rejection:
         """Admit a request, or return why it is rejected.
 
         Parameters
         ----------
+        rules : Ruleset or None
+            Routes and teams by which it was decoded and routed.
         route : RouteRule or Rejection
             Its route, or the rejection of a request that has none.
         is_checked : bool, optional
@@ -221,12 +304,12 @@
                 return rejection
         if rejection is not None:
             return rejection
-        match self._egress.identify(request, rule):
+        match self._egress.identify(request, rules, rule):
             case Identity() as identity if is_checked:
-                return Admission(rule, identity)
+                return Admission(rules, rule, identity)
             case Identity() as identity:
                 rejection = self._egress.find_overload(request, rule, identity)
-                return rejection or Admission(rule, identity)
+                return rejection or Admission(rules, rule, identity)
             case rejection:
                 return rejection
 
@@ -287,6 +370,19 @@
                 )
 
 
+def has_teams(rules: Ruleset | None) -> bool:
+    """Return whether requests need keys, by the rules in force, if there are any."""
+    return rules is not None and rules.teams.has_teams
+
+
+def find_route(request: Request, rules: Ruleset | None) -> RouteRule | Rejection:
+    """Return the route of a request, or a rejection if there is none."""
+    if rules is None:
+        return Rejection(Reason.NO_CONFIGURATION, NOT_READY_RETRY_AFTER_S)
+    route = rules.routes.find(request.host, request.target)
+    return route or Rejection(Reason.NO_ROUTE)
+
+
 def compute_client_expiry(request: Request) -> float:
     """Return until when the client waits for its answer, in monotonic seconds."""
     timeout_s = request.timeout_s
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -14,6 +14,7 @@
 from cassiahatch_kernel.members import Member
 from cassiahatch_kernel.registry import MESH_GROUP, PLUGINS, load_plugins
 from cassiahatch_kernel.routes import Limits, RouteTable
+from cassiahatch_kernel.rulesets import Ruleset
 from cassiahatch_kernel.teams import Team, TeamTable
 from cassiahatch_node.mesh.announcement_handler import AnnouncementHandler
 from cassiahatch_node.mesh.answer_memory import AnswerMemory
@@ -94,6 +95,8 @@
         self._stopping = asyncio.Event()
         self._limits = Limits()
         self._teams: tuple[Team, ...] = ()
+        self._team_table = TeamTable()
+        """Teams of the configuration in force, indexed."""
         self._servers: list[asyncio.Server] = []
         self._wire(journal_fd)
 
@@ -217,11 +220,11 @@
             self.journal,
         )
         self.egress.lease = self._make_lease()
-        self.egress.quotas = self.quotas = make_team_quotas(
+        self.quotas = make_team_quotas(
             settings,
             self._store,
             self.directory,
-            lambda: self.egress.teams,
+            lambda: self._team_table,
             clock,
             self._random,
             self.metrics,
@@ -237,6 +240,7 @@
             self._stopping.is_set,
             lambda read_at: self._links.compute_earliest_sending(read_at),
         )
+        self._front_end.quotas = self.quotas
         self._clients = ClientServer(
             clock,
             lambda: self._limits,
@@ -428,24 +432,25 @@
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._limits = configuration.limits
         self._apply_teams(configuration)
-        self.egress.table = RouteTable(
+        routes = RouteTable(
             configuration.version,
             configuration.rules,
             configuration.limits,
             self._random,
         )
+        self.egress.rules = Ruleset(routes, self._team_table)
 
     def _apply_teams(self, configuration: Configuration) -> None:
         if configuration.teams == self._teams:
             return
         self._teams = configuration.teams
-        self.egress.teams = TeamTable(configuration.teams)
+        self._team_table = TeamTable(configuration.teams)
         self.journal.note(
             "teams_in_force",
             version=configuration.version,
             teams=len(configuration.teams),
         )
-        ambiguous = self.egress.teams.ambiguous_teams
+        ambiguous = self._team_table.ambiguous_teams
         if ambiguous:
             self.journal.note("ambiguous_api_key", teams=ambiguous)
 
--- a/packages/operator/src/cassiahatch_operator/explanation.py
+++ b/packages/operator/src/cassiahatch_operator/explanation.py
@@ -31,6 +31,7 @@
     Reason.UNKNOWN_PARENT: "the call belongs to no run that the node knows",
     Reason.QUOTA_EXCEEDED: "the team had used up its quota",
     Reason.QUOTA_UNKNOWN: "no keeper answered for the team's quota in time",
+    Reason.CONFIGURATION_CHANGED: "its key went to another team while it waited",
     Reason.CONFIGURATION_EXPIRED: "nobody had confirmed the configuration recently",
     Reason.NO_MEMBER: "no backend server of the service could be reached",
     Reason.EDGE_OVERLOAD: "refused at the edge: a service at or below is overloaded",
