Record each departure that is acknowledged, also of a process not heard of before

Cause: handle_leave answered the leave of an instance other than the current one with 200 and recorded nothing, so that the heartbeats which arrived after it registered the process as a new one.

Change: departures are a record of their own, the last four instances of a VM with the latest start that has left. It is part of the node's row, and an acknowledgement waits for that. The start in a leave (born) is read; one without is of a process that started before the message came.

It works since what a later message is compared with no longer depends on which process the node had heard of, and outlives the process of the node.

Related: a leave of the current id with a later start, a late leave of an earlier process under the same id, a late drain of a process that was replaced, and a departure before the node knows its row.

--- a/packages/kernel/src/cassiahatch_kernel/members.py
+++ b/packages/kernel/src/cassiahatch_kernel/members.py
@@ -64,6 +64,8 @@
     """Identity of the backend server's process, if the platform provides one."""
     born_ms: Milliseconds = 0
     """Start of that process, in milliseconds since the Unix epoch."""
+    departed: tuple[tuple[Milliseconds, str], ...] = ()
+    """Start and instance of processes of its backend server that have left."""
 
     @property
     def version(self) -> tuple[int, int]:
--- a/packages/node/src/cassiahatch_node/mesh/control_server.py
+++ b/packages/node/src/cassiahatch_node/mesh/control_server.py
@@ -13,7 +13,7 @@
 
 from cassiahatch_kernel.errors import CodedError
 from cassiahatch_node.mesh.journal import Journal
-from cassiahatch_node.mesh.own_backend import Announcement
+from cassiahatch_node.mesh.own_backend import Announcement, Leave
 from cassiahatch_node.observability.metrics import Metrics
 
 METRICS_PATH = "/metrics"
@@ -37,7 +37,7 @@
     journal: Journal
     is_ready: Callable[[], bool]
     handle_announcement: Callable[[Announcement], Awaitable[bool]]
-    handle_leave: Callable[[str], Awaitable[bool]]
+    handle_leave: Callable[[Leave], Awaitable[bool]]
     open_count: int = 0
     """Number of requests that have not been answered."""
 
@@ -113,5 +113,6 @@
             ), b"{}"
         instance = service.codec.find_leave(path)
         if instance is not None:
-            return (200 if await service.handle_leave(instance) else 503), b"{}"
+            leave = service.codec.decode_leave(instance, request.body)
+            return (200 if await service.handle_leave(leave) else 503), b"{}"
     return 404, msgspec.json.encode(ErrorBody("unknown_path", path))
--- a/packages/node/src/cassiahatch_node/mesh/directory.py
+++ b/packages/node/src/cassiahatch_node/mesh/directory.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from types import TracebackType
 
 from cassiahatch_kernel.clock import Clock
+from cassiahatch_kernel.departures import Departures, Process
 from cassiahatch_kernel.exchanges import Load
 from cassiahatch_kernel.members import Member, MemberState
 from cassiahatch_node.mesh.journal import Journal
@@ -56,9 +57,9 @@
         """Cached list of endpoints per service, dropped when one of them changes."""
         self._links: dict[str, PeerLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._leaving: dict[str, tuple[int, str]] = {}
-        """Process of each member that was last known to leave. Its member record may
-        say otherwise, written by a node that has restarted since."""
+        self._departures: dict[str, Departures] = {}
+        """Processes of each member that are known to leave. Its member record may say
+        otherwise, written by a node that has restarted since."""
         self.members: dict[str, Member] = {}
 
     def __enter__(self) -> Directory:
@@ -79,8 +80,9 @@
         A changed address closes the link. In a small fleet, or to a member of this
         node's zone, a link is opened at once.
         """
+        self.record_departures(member.node_id, member.departed)
         if member.state is MemberState.DRAINING:
-            self._leaving[member.node_id] = member.process
+            self.record_departures(member.node_id, (member.process,))
         previous = self.members.get(member.node_id)
         if previous is not None and member.version <= previous.version:
             return False
@@ -97,7 +99,7 @@
 
     def remove(self, node_id: str) -> None:
         """Remove a member whose record was deleted from the store."""
-        self._leaving.pop(node_id, None)
+        self._departures.pop(node_id, None)
         previous = self.members.pop(node_id, None)
         if previous is not None:
             self._remove_endpoint(previous)
@@ -151,16 +153,32 @@
         if member is None:
             return
         if load.leaving is not None:
-            self._leaving[node_id] = load.leaving
+            self.record_departures(node_id, (load.leaving,))
         endpoint = self._endpoints.get(member.service, {}).get(node_id)
         if endpoint is not None:
             endpoint.record_load(load, self._clock.monotonic())
             if self.is_leaving(node_id, member.process):
                 endpoint.accepts = False
 
-    def is_leaving(self, node_id: str, process: tuple[int, str]) -> bool:
+    def record_departures(self, node_id: str, processes: Iterable[Process]) -> None:
+        """Record that processes of a member have said that they leave."""
+        for process in processes:
+            self._departures.setdefault(node_id, Departures()).record(process)
+        member = self.members.get(node_id)
+        if member is not None and self.is_leaving(node_id, member.process):
+            endpoint = self._endpoints.get(member.service, {}).get(node_id)
+            if endpoint is not None:
+                endpoint.accepts = False
+
+    def list_departures(self, node_id: str) -> tuple[Process, ...]:
+        """Return the processes of a member that have said that they leave."""
+        departures = self._departures.get(node_id)
+        return () if departures is None else departures.list_processes()
+
+    def is_leaving(self, node_id: str, process: Process) -> bool:
         """Return whether a member's process has said that it leaves."""
-        return self._leaving.get(node_id) == process
+        departures = self._departures.get(node_id)
+        return departures is not None and departures.covers(process)
 
     def end_calls(self) -> None:
         """End all calls to peers, which may run on there."""
--- a/packages/node/src/cassiahatch_node/mesh/own_backend.py
+++ b/packages/node/src/cassiahatch_node/mesh/own_backend.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cassiahatch_kernel.departures import Departures, Process
 from cassiahatch_kernel.errors import CodedError
 from cassiahatch_kernel.exchanges import Reason
 
@@ -46,11 +47,19 @@
     """Unix milliseconds at which the process started."""
 
     @property
-    def process(self) -> tuple[int, str]:
+    def process(self) -> Process:
         """Start and identity of the backend server's process."""
         return self.born_ms, self.instance
 
 
+class Leave(msgspec.Struct, frozen=True):
+    """A decoded message of a backend server that leaves without announcing a drain."""
+
+    instance: str
+    born_ms: int | None
+    """Unix milliseconds at which the process started; None if it does not say."""
+
+
 class OwnBackend:
     """Availability of the local backend server.
 
@@ -66,10 +75,10 @@
 
     __slots__ = (
         "_address",
-        "_departed",
         "_stops_at",
         "announcement",
         "cold_until",
+        "departures",
         "drain_s",
         "is_missing",
         "is_stopping",
@@ -81,7 +90,9 @@
         self.service = service
         self._address = address
         self.drain_s = drain_s
-        self._departed: tuple[int, str] | None = None
+        self.departures = Departures()
+        """Processes that have said that they leave, whether or not the node has heard of
+        them before."""
         self._stops_at: float | None = None
         self.announcement: Announcement | None = None
         self.cold_until = float("-inf")
@@ -120,8 +131,8 @@
         """
         current = self.announcement
         if self._outranks(announcement):
-            self._departed = None
-        elif self._departed is not None and announcement.process <= self._departed:
+            self.departures.forget(current.instance)
+        elif self.departures.covers(announcement.process):
             return False
         elif current is not None and not _is_newer(announcement, current):
             return False
@@ -153,6 +164,10 @@
 
     def restore(self, announcement: Announcement, now: float) -> None:
         """Restore the announcement that an earlier process of this node has stored."""
+        if self.departures.covers(announcement.process):
+            announcement = msgspec.structs.replace(
+                announcement, state=BackendState.DRAINING
+            )
         self.announcement = announcement
         if announcement.state is BackendState.DRAINING:
             self._begin_draining(now)
@@ -175,7 +190,13 @@
         return True
 
     @property
-    def leaving_process(self) -> tuple[int, str] | None:
+    def has_departed(self) -> bool:
+        """Whether a departure of the current process has been recorded."""
+        current = self.announcement
+        return current is not None and self.departures.covers(current.process)
+
+    @property
+    def leaving_process(self) -> Process | None:
         """Start and identity of the current process if it leaves."""
         if self._stops_at is None or self.announcement is None:
             return None
@@ -227,7 +248,7 @@
         )
 
     def _begin_draining(self, now: float) -> None:
-        self._departed = self.announcement.process
+        self.departures.record(self.announcement.process)
         if self._stops_at is None:
             self._stops_at = now + self.drain_s
 
--- a/packages/node/src/cassiahatch_node/mesh/registration.py
+++ b/packages/node/src/cassiahatch_node/mesh/registration.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 
 from cassiahatch_kernel.clock import Clock
+from cassiahatch_kernel.departures import Process
 from cassiahatch_kernel.members import Member, MemberState
 from cassiahatch_kernel.ports import (
     Committed,
@@ -80,12 +81,25 @@
                 self._propagate()
         return stored
 
-    def has_left(self, process: tuple[int, str]) -> bool:
-        """Return whether this node's record has shown that a process leaves."""
-        return self._directory.is_leaving(self.own.node_id, process)
+    def list_departures(self) -> tuple[Process, ...]:
+        """Return the processes that this node's records, or peers, say have left."""
+        return self._directory.list_departures(self.own.node_id)
 
-    def publish(self, announcement: Announcement) -> None:
-        """Update the record from an announcement, and propagate it to the fleet."""
+    def publish_departures(self, departed: tuple[Process, ...]) -> None:
+        """Propagate departures while no backend server is announced."""
+        self.own = replace(self.own, sequence=self.own.sequence + 1, departed=departed)
+        self._propagate()
+
+    def publish(
+        self, announcement: Announcement, departed: tuple[Process, ...]
+    ) -> None:
+        """Update the record from an announcement, and propagate it to the fleet.
+
+        Parameters
+        ----------
+        departed : tuple of Process
+            Processes of the backend server that have left.
+        """
         is_ready = announcement.state is BackendState.READY
         self.own = replace(
             self.own,
@@ -95,6 +109,7 @@
             slots=announcement.slots,
             instance=announcement.instance,
             born_ms=announcement.born_ms,
+            departed=departed,
         )
         self._propagate()
 
