Take a request with a key for a root request, whatever its id looks like

Cause: the id of a call names its parent, to whose team it belongs, and clients choose the ids of their requests. Egress looked at the key only if no request of that id was running.

Change: calls carry no key, so the dialect gives a request that carries one, of whatever kind, no parent. The running calls are kept one by one (RunningCalls): an id that runs of several teams share names no parent. Only a call whose parent runs here passes the cutoff of the edge.

It works since what identifies a client is its key alone, before anything that it chose.

--- a/packages/kernel/src/cassiahatch_kernel/exchanges.py
+++ b/packages/kernel/src/cassiahatch_kernel/exchanges.py
@@ -110,7 +110,8 @@
     root: str
     """Id of the root request on whose behalf it is made; equals ``id`` at the root."""
     parent: str
-    """Id of the request during whose run it is made; empty at the root."""
+    """Id of the request during whose run it is made, as its own id has it; empty at the
+    root. A client may choose such an id, so a request with a key has no parent."""
     method: str
     host: str
     target: str
--- a/packages/node/src/cassiahatch_node/mesh/egress.py
+++ b/packages/node/src/cassiahatch_node/mesh/egress.py
@@ -137,9 +137,7 @@
     ) -> Identity | Rejection:
         if not request.parent:
             return identify_request(rules.teams, rule, request.api_key)
-        parent = self._ingress.running.get(request.parent)
-        if parent is None and request.api_key:
-            return identify_request(rules.teams, rule, request.api_key)
+        parent = self._ingress.running.find_parent(request.parent)
         parent_call = None if parent is None else parent.call
         return identify_call(rules.teams, rule, parent_call)
 
@@ -166,9 +164,10 @@
         """Return the rejection of a root request beyond its route's cutoff.
 
         Only the head of the request needs to have been read. One that is admitted may
-        count as a probe of its route, so each request is checked once.
+        count as a probe of its route, so each request is checked once. One that only
+        looks like a call, by an id that a client chose, counts as a root request.
         """
-        if request.parent:
+        if self._ingress.running.find_parent(request.parent) is not None:
             return None
         position = compute_position(identity.rank, request.root)
         if not self._graph.admits(rule.name, position, request.arrived):
@@ -191,7 +190,7 @@
         self, request: Request, rules: Ruleset, rule: RouteRule, identity: Identity
     ) -> RequestState:
         root_target_at = compute_target(request, rule)
-        parent = self._ingress.running.get(request.parent) if request.parent else None
+        parent = self._ingress.running.find_parent(request.parent)
         is_caused_by_retry = self._ingress.was_caused_by_retry(request.parent)
         if parent is not None:
             root_target_at = parent.root_target_at
--- a/packages/node/src/cassiahatch_node/mesh/ingress.py
+++ b/packages/node/src/cassiahatch_node/mesh/ingress.py
@@ -29,6 +29,7 @@
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.own_backend import OwnBackend
 from cassiahatch_node.mesh.retry_limiter import RetryLimiter
+from cassiahatch_node.mesh.running_calls import RunningCalls
 from cassiahatch_node.mesh.server_limit import ServerLimit
 from cassiahatch_node.mesh.spans import Hop, Spans
 from cassiahatch_node.observability.metrics import Metrics
@@ -137,8 +138,7 @@
         self._last_reply_at = float("-inf")
         self._busy_since = float("-inf")
         self._crash_checked_at = float("-inf")
-        self.running: dict[str, Arrival] = {}
-        """Calls that the backend server is running, by call id."""
+        self.running = RunningCalls()
         self.on_missing: Callable[[], None] = _ignore
         self.on_leaving: Callable[[], None] = _ignore
         """Called when an answer of the backend server says that it leaves."""
@@ -170,7 +170,7 @@
         A run that began before the node started is unknown and counts as a first
         attempt, as most runs are.
         """
-        arrival = self.running.get(call_id)
+        arrival = self.running.find_parent(call_id)
         if arrival is not None:
             return arrival.call.attempt_kind is not AttemptKind.FIRST
         return self._retry_limiter.has_recently_ended(call_id)
@@ -277,7 +277,7 @@
         """Reject the calls that wait, and end those that run as ones that may have run."""
         for job in self._queue.clear():
             self._reject(job.payload, Rejection(Reason.STOPPING))
-        for arrival in list(self.running.values()):
+        for arrival in list(self.running):
             arrival.reply(Indeterminate(Reason.STOPPING))
             arrival.is_withdrawn = True
 
@@ -290,7 +290,7 @@
 
     def _abort_overdue(self, now: float) -> None:
         """Abort runs past their deadline whose callers have not cancelled them."""
-        for arrival in self.running.values():
+        for arrival in self.running:
             if (
                 now > arrival.expires_at + OVERDUE_S
                 and arrival.backend_client is not None
@@ -320,7 +320,7 @@
                 if not self._rate_limit.is_known:
                     self._set_rate(None)
         pace = self._server_limit.record_statement(metadata.stated_load, call.instance)
-        arrival = self.running.get(call.id)
+        arrival = self.running.find(call)
         if arrival is not None:
             arrival.pace = pace
         if metadata.is_leaving and not self._backend.is_leaving:
@@ -403,7 +403,7 @@
         arrival.backend_client = backend_client
         if not self.running:
             self._busy_since = self._clock.monotonic()
-        self.running[arrival.call.id] = arrival
+        self.running.add(arrival)
         reason = self._backend.find_rejection_reason(
             arrival.call.instance, self._clock.monotonic(), job.expires_at
         )
@@ -416,7 +416,7 @@
                 result = await self._forward(arrival, backend_client, job.expires_at)
         finally:
             arrival.backend_client = None
-            self.running.pop(arrival.call.id, None)
+            self.running.remove(arrival)
             now = self._clock.monotonic()
             self._retry_limiter.record_end(arrival.call)
             self._queue.finish(job, now, isinstance(result, Reply))
@@ -518,7 +518,7 @@
         if not self._backend.is_missing:
             self._backend.is_missing = True
             self._journal.note("backend_missing", reason=reason)
-            running = [arrival.call for arrival in self.running.values()]
+            running = [arrival.call for arrival in self.running]
             self._crashes.record_crash(self._backend.instance, running)
             self.on_missing()
 
