Let a node that starts in a new era of the store learn departures from its peers

Its node was restarted while the store came back from a copy made before the departure.

Cause: the new process believed the record that it read first, which was older than what the store had acknowledged. Its Hello named a version of the new era, which hides all records of the one before, so that the peer, which sent no request there itself, said nothing. It held where the peer connected before the store was read.

Change: a row names the era in which it was written. One of an earlier era, or a missing one, is relied on only after peers had 1 s to say what they know, or 5 s if none answers (RecordConfirmation; record_unconfirmed in the log). A peer answers each Hello with the departures that it knows of the sender's backend server, whatever their versions are. A store without eras, and a row of the present era, wait for nothing.

It works since the backend server is in service only once those who outlived the node have spoken, and they keep departures apart from the record that replaces them.

Related: a late heartbeat where the copy lacks the row; departures of processes not heard of.

--- a/packages/kernel/src/cassiahatch_kernel/members.py
+++ b/packages/kernel/src/cassiahatch_kernel/members.py
@@ -66,6 +66,8 @@
     """Start of that process, in milliseconds since the Unix epoch."""
     departed: tuple[tuple[Milliseconds, str], ...] = ()
     """Start and instance of processes of its backend server that have left."""
+    store_era: Counter = 0
+    """Era of the store that its node knew when it wrote this record."""
 
     @property
     def version(self) -> tuple[int, int]:
--- a/packages/node/src/cassiahatch_node/mesh/announcement_handler.py
+++ b/packages/node/src/cassiahatch_node/mesh/announcement_handler.py
@@ -71,7 +71,6 @@
         self._clock = clock
         self._journal = journal
         self._is_restored = False
-        """Whether this node's stored record is known, or that there is none."""
         self._early: deque[Announcement] = deque(maxlen=MAX_EARLY)
         """Announcements that came before."""
 
@@ -146,8 +145,15 @@
             self._propagate(False)
         return is_new
 
+    @property
+    def is_restored(self) -> bool:
+        """Whether this node's stored record is known, or that there is none."""
+        return self._is_restored
+
     def apply_stored(self) -> None:
         """Follow this node's stored record, and then what was announced before it."""
+        if not (self._is_restored or self._registration.is_confirmed()):
+            return
         is_first, self._is_restored = not self._is_restored, True
         self._restore()
         while self._early:
--- a/packages/node/src/cassiahatch_node/mesh/directory.py
+++ b/packages/node/src/cassiahatch_node/mesh/directory.py
@@ -170,6 +170,10 @@
             if endpoint is not None:
                 endpoint.accepts = False
 
+    def record_own_departures(self, processes: Iterable[Process]) -> None:
+        """Record what a peer knows of departures of this node's backend server."""
+        self.record_departures(self._own_id, processes)
+
     def list_departures(self, node_id: str) -> tuple[Process, ...]:
         """Return the processes of a member that have said that they leave."""
         departures = self._departures.get(node_id)
--- a/packages/node/src/cassiahatch_node/mesh/frames.py
+++ b/packages/node/src/cassiahatch_node/mesh/frames.py
@@ -115,6 +115,9 @@
     members_version: int = 0
     """``members`` holds every change between these two store versions; both are 0 if
     it holds the record of a single member."""
+    departed: tuple[tuple[int, str], ...] = ()
+    """Start and instance of processes of the receiver's backend server that have left.
+    The receiver may have restarted since, and the store may have lost them."""
 
 
 class ReaderFrame(msgspec.Struct, array_like=True, tag=7, frozen=True):
--- a/packages/node/src/cassiahatch_node/mesh/registration.py
+++ b/packages/node/src/cassiahatch_node/mesh/registration.py
@@ -21,6 +21,7 @@
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.member_records import encode_member
 from cassiahatch_node.mesh.own_backend import Announcement, BackendState
+from cassiahatch_node.mesh.record_confirmation import RecordConfirmation, RecordOrigin
 from cassiahatch_node.mesh.store_sync import MEMBER_TABLE, StoreSync
 
 RETRY_BACKOFF_S = 0.25
@@ -58,6 +59,7 @@
         self._clock = clock
         self._random = random_source
         self._journal = journal
+        self._confirmation = RecordConfirmation()
         self._changed = asyncio.Event()
         self._written = asyncio.Event()
         self._written_version = 0
@@ -65,6 +67,29 @@
         self.on_change: Callable[[bytes], None] = _ignore
         """Called with the stored encoding of the record after each change."""
 
+    def is_confirmed(self) -> bool:
+        """Return whether the stored record, or that there is none, can be relied on."""
+        members, was_waiting = self._directory.members, self._confirmation.is_waiting
+        stored = members.get(self.own.node_id)
+        origin = RecordOrigin(
+            None if stored is None else stored.store_era,
+            self._store_era,
+            bool(members.keys() - {self.own.node_id}),
+            self._store_sync.has_informed_peer,
+        )
+        is_confirmed = self._confirmation.confirm(origin, self._clock.monotonic())
+        if self._confirmation.is_waiting and not was_waiting:
+            self._journal.note(
+                "record_unconfirmed",
+                record_era=origin.record_era,
+                store_era=origin.store_era,
+            )
+        return is_confirmed
+
+    @property
+    def _store_era(self) -> int:
+        return get_era(self._store_sync.members_version)
+
     def read_stored(self) -> Member | None:
         """Return the record that an earlier process of this node wrote, or None.
 
@@ -123,6 +148,7 @@
         return True
 
     def _propagate(self) -> None:
+        self.own = replace(self.own, store_era=self._store_era)
         self._directory.update(self.own)
         self._written.clear()
         self._changed.set()
@@ -134,9 +160,10 @@
         That is so once, when the members are known of a later era than that in which it
         was written.
         """
-        era = get_era(self._store_sync.members_version)
+        era = self._store_era
         if self._written_version and get_era(self._written_version) < era:
             self._journal.note("row_restored", era=era)
+            self.own = replace(self.own, store_era=era)
             self._written_version = 0
             self._written.clear()
             self._changed.set()
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -419,15 +419,20 @@
     async def _tick(self) -> None:
         while True:
             self._links.tick()
+            if not self._announcement_handler.is_restored:
+                self._restore_backend()
             if self.egress.lease is not None:
                 self.egress.lease.check()
             await asyncio.sleep(TICK_INTERVAL_S)
 
     def _on_members_applied(self) -> None:
         self.budget.server_count = self.directory.count_endpoints(self.backend.service)
+        self._restore_backend()
+        self.registration.restore()
+
+    def _restore_backend(self) -> None:
         if self.store_sync.has_members:
             self._announcement_handler.apply_stored()
-        self.registration.restore()
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._limits = configuration.limits
--- a/packages/node/src/cassiahatch_node/mesh/store_sync.py
+++ b/packages/node/src/cassiahatch_node/mesh/store_sync.py
@@ -100,6 +100,8 @@
         """Store version up to which all changes of members have been applied."""
         self.has_members = False
         """Whether all members that the store held at some moment are known."""
+        self.has_informed_peer = False
+        """Whether a peer that knows the members has connected since the start."""
         self._change_versions: dict[str, int] = {}
         """Store version at or before which each member's record last changed. For a
         record received from a peer, this is the version that the update reached."""
@@ -173,6 +175,7 @@
 
     def confirm(self, peer: ReaderFrame | Hello) -> None:
         """Take account of when a peer's versions were the newest."""
+        self.has_informed_peer |= isinstance(peer, Hello) and peer.members_version > 0
         if not self._confirmations.confirm_by_peer(peer, self.config_version):
             self._journal.trace(
                 "store_time_contradicted",
@@ -203,10 +206,11 @@
                 for member in self._directory.members.values()
                 if self._change_versions.get(member.node_id, since + 1) > since
             )
-        if not config and since >= self.members_version:
+        departed = self._directory.list_departures(hello.node_id)
+        if not (config or departed) and since >= self.members_version:
             return None
         return UpdateFrame(
-            config, self.config_version, members, since, self.members_version
+            config, self.config_version, members, since, self.members_version, departed
         )
 
     def apply_update(self, update: UpdateFrame) -> None:
@@ -232,7 +236,8 @@
                 self._forward(
                     UpdateFrame(b"", 0, update.members, since, update.members_version)
                 )
-        if update.members or reaches_further:
+        self._directory.record_own_departures(update.departed)
+        if update.members or update.departed or reaches_further:
             self.on_members_applied()
 
     def _record_change_version(self, node_id: str, version: int) -> None:
--- a/tests/test_mesh_departures.py
+++ b/tests/test_mesh_departures.py
@@ -101,6 +101,12 @@
 }
 
 
+async def stop_process(host: Host) -> None:
+    """Stop a sidecar and, like the end of a process, close its connections."""
+    host.sidecar._links.abort_links(0.0)
+    await host.stop()
+
+
 async def follow(site: Site, host: Host, message: Message) -> None:
     """Let a message arrive at a node, or restart it."""
     match message:
@@ -114,9 +120,7 @@
             stored = decode_member(site.store.rows["members", "n2"][0], WALL_S)
             assert Departures(stored.departed).covers((born or FIRST, instance))
         case Restart():
-            # The end of a process closes its connections; that of a sidecar does not.
-            host.sidecar._links.abort_links(0.0)
-            await host.stop()
+            await stop_process(host)
             await host.start(site._journal_fd)
             await site.wait_for_convergence()
 
