--- a/packages/node/src/cassiahatch_node/mesh/front_end.py
+++ b/packages/node/src/cassiahatch_node/mesh/front_end.py
@@ -33,10 +33,9 @@
 from cassiahatch_node.mesh.egress import Egress, compute_expiry
 from cassiahatch_node.mesh.http_messages import RawRequest
 from cassiahatch_node.mesh.journal import Journal
-from cassiahatch_node.mesh.team_quotas import TeamQuotas
+from cassiahatch_node.mesh.quota_payments import QuotaPayments
 from cassiahatch_node.observability.metrics import Metrics
 from cassiahatch_policies.identification import Identity
-from cassiahatch_policies.team_quota import Grant
 
 DEFAULT_WAIT_S = 60.0
 """Time for which a client that names no deadline is taken to wait for its answer."""
@@ -64,6 +63,8 @@
         Encoding of requests and responses.
     egress : Egress
         Sends the requests to backend servers.
+    payments : QuotaPayments
+        Pays for the requests out of their teams' quotas.
     answer_memory : AnswerMemory
         Accounts for the answers that clients have not read.
     """
@@ -72,6 +73,7 @@
         self,
         dialect: Dialect,
         egress: Egress,
+        payments: QuotaPayments,
         clock: Clock,
         metrics: Metrics,
         journal: Journal,
@@ -81,6 +83,7 @@
     ) -> None:
         self._dialect = dialect
         self._egress = egress
+        self._payments = payments
         self._clock = clock
         self._metrics = metrics
         self._journal = journal
@@ -89,8 +92,6 @@
         self._compute_earliest_sending = compute_earliest_sending
         self.stop_admission: Any = None
         """The plug-in that admits requests while the node stops; None before."""
-        self.quotas: TeamQuotas | None = None
-        """Enforces the quotas of teams; None if they are not enforced."""
 
     def check(self, raw: RawRequest) -> Rejection | None:
         """Return why a request whose head has been read can't be served, or None."""
@@ -215,42 +216,24 @@
         The quota is checked last, so that it pays for no request that is rejected before.
         """
         team = admission.identity.team
-        paid = self._try_pay(admission.identity)
+        paid = self._payments.try_pay(admission.identity)
         if paid is False:
-            paid = await self._wait_for_unit(request, team)
+            paid = await self._payments.wait_for_unit(request, team)
             if isinstance(paid, Rejection):
                 return paid
             match self._admit_again(request, team):
                 case Admission() as admission:
                     pass
                 case rejection:
-                    self.quotas.give_back(team, paid)
+                    self._payments.give_back(team, paid)
                     return rejection
         result = await self._egress.serve(
             request, admission.rules, admission.rule, admission.identity
         )
-        if isinstance(paid, Grant) and isinstance(result, Rejection):
-            self.quotas.give_back(team, paid)
+        if isinstance(result, Rejection):
+            self._payments.give_back(team, paid)
         return result
 
-    def _try_pay(self, identity: Identity) -> Grant | bool:
-        """Pay for a request if that needs no waiting; True if it needs no unit."""
-        if self.quotas is None or not identity.has_key:
-            return True
-        return self.quotas.try_admit(identity.team)
-
-    async def _wait_for_unit(self, request: Request, team: str) -> Grant | Rejection:
-        outcome = await self.quotas.wait_for_unit(team)
-        if isinstance(outcome, Rejection):
-            self._journal.trace(
-                "refused_by_quota",
-                request=request.id,
-                reason=outcome.reason,
-                team=team,
-                retry_after_s=round(outcome.retry_after_s, 3),
-            )
-        return outcome
-
     def _admit_again(self, request: Request, team: str) -> Admission | Rejection:
         """Admit a request that has waited, by what is in force after the wait.
 
--- a/packages/node/src/cassiahatch_node/mesh/ingress.py
+++ b/packages/node/src/cassiahatch_node/mesh/ingress.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any
 
 from cassiahatch_kernel.clock import Clock
@@ -29,7 +28,7 @@
 from cassiahatch_node.mesh.journal import Journal
 from cassiahatch_node.mesh.own_backend import OwnBackend
 from cassiahatch_node.mesh.retry_limiter import RetryLimiter
-from cassiahatch_node.mesh.running_calls import RunningCalls
+from cassiahatch_node.mesh.running_calls import Arrival, RunningCalls
 from cassiahatch_node.mesh.server_limit import ServerLimit
 from cassiahatch_node.mesh.spans import Hop, Spans
 from cassiahatch_node.observability.metrics import Metrics
@@ -53,28 +52,6 @@
 server may already have sent its own deadline response."""
 
 
-@dataclass(slots=True)
-class Arrival:
-    """A call received by the node of the backend server that is to run it."""
-
-    call: Call
-    reply: Callable[[Result], None]
-    root_target_at: float
-    """Monotonic seconds at which the latency target of its root request passes; a later
-    answer is worth less."""
-    backend_client: BackendClient | None = None
-    """Client through which the call runs; None while it does not run."""
-    is_withdrawn: bool = False
-    expires_at: float = float("inf")
-    """Deadline in monotonic seconds, after which an answer is useless to the caller."""
-    is_overdue: bool = False
-    """Whether the run was aborted ``OVERDUE_S`` after its deadline."""
-    has_calls: bool = False
-    """Whether the run has made calls of its own, for which it waited."""
-    pace: float | None = None
-    """Pace that the answer states; None if it states none."""
-
-
 class Ingress:
     """Queues calls and runs them at the local backend server, within its slots.
 
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -36,6 +36,7 @@
 from cassiahatch_node.mesh.link_out import LinkCallbacks, PeerLink
 from cassiahatch_node.mesh.own_backend import OwnBackend
 from cassiahatch_node.mesh.process_signals import ProcessSignals
+from cassiahatch_node.mesh.quota_payments import QuotaPayments
 from cassiahatch_node.mesh.quota_setup import make_team_quotas
 from cassiahatch_node.mesh.readers import ReaderElection
 from cassiahatch_node.mesh.registration import Registration
@@ -233,6 +234,7 @@
         self._front_end = FrontEnd(
             dialect,
             self.egress,
+            QuotaPayments(self.quotas, self.journal),
             clock,
             self.metrics,
             self.journal,
@@ -240,7 +242,6 @@
             self._stopping.is_set,
             lambda read_at: self._links.compute_earliest_sending(read_at),
         )
-        self._front_end.quotas = self.quotas
         self._clients = ClientServer(
             clock,
             lambda: self._limits,
--- a/packages/node/src/cassiahatch_node/mesh/running_calls.py
+++ b/packages/node/src/cassiahatch_node/mesh/running_calls.py
@@ -2,13 +2,33 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from typing import TYPE_CHECKING
-
-from cassiahatch_kernel.exchanges import Call
-
-if TYPE_CHECKING:
-    from cassiahatch_node.mesh.ingress import Arrival
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from cassiahatch_kernel.exchanges import Call, Result
+from cassiahatch_node.mesh.backend_client import BackendClient
+
+
+@dataclass(slots=True)
+class Arrival:
+    """A call received by the node of the backend server that is to run it."""
+
+    call: Call
+    reply: Callable[[Result], None]
+    root_target_at: float
+    """Monotonic seconds at which the latency target of its root request passes; a later
+    answer is worth less."""
+    backend_client: BackendClient | None = None
+    """Client through which the call runs; None while it does not run."""
+    is_withdrawn: bool = False
+    expires_at: float = float("inf")
+    """Deadline in monotonic seconds, after which an answer is useless to the caller."""
+    is_overdue: bool = False
+    """Whether the run was aborted ``OVERDUE_S`` after its deadline."""
+    has_calls: bool = False
+    """Whether the run has made calls of its own, for which it waited."""
+    pace: float | None = None
+    """Pace that the answer states; None if it states none."""
 
 
 class RunningCalls:
