Take no older configuration at a start than peers have, in a new era of the store

Callers of a node that had just started were served by a version that the store had lost: with links that take 0.4 s, the node put version 3 in force although its peer had 6.

The first configuration that was read from a store which had come back from an older copy was believed, while peers had a newer one.

Change: in a later era than 0, the first configuration that is read waits for peers, like the node's own row: a peer sends its own with the answer to the first Hello; without one, 1 s, or 5 s if no peer answers (configuration_unconfirmed in the log). Until then the node is not ready. A store without eras changes nothing.

It works since versions only rise within a process: what matters is which one comes first.

--- a/packages/node/src/cassiahatch_node/mesh/record_confirmation.py
+++ b/packages/node/src/cassiahatch_node/mesh/record_confirmation.py
@@ -1,12 +1,12 @@
-"""Whether a node that has started may rely on its stored record."""
+"""Whether a node that has started may rely on what it reads first from the store."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
 MIN_WAIT_S = 1.0
-"""Time for which peers are given the chance to say what they know of the node: many times
-that of a new link and its first messages."""
+"""Time for which peers are given the chance to say what they know: many times that of a
+new link and its first messages."""
 MAX_WAIT_S = 5.0
 """The same while no peer answers: a node that is cut off from all of them has nobody to
 learn from, and its own clients still need the backend server."""
@@ -14,10 +14,11 @@
 
 @dataclass(slots=True, frozen=True)
 class RecordOrigin:
-    """What a node knows of its stored record, and of those who may know a newer one."""
+    """What a node knows of a stored record, and of those who may know a newer one."""
 
     record_era: int | None
-    """Era of the store in which the record was written; None if there is no record."""
+    """Era of the store in which the record was written; None if there is no record, or
+    it does not say."""
     store_era: int
     has_peers: bool
     """Whether there are other members."""
@@ -26,11 +27,12 @@
 
 
 class RecordConfirmation:
-    """Decides when a node's stored record counts as its newest one.
+    """Decides when the record that a node reads first counts as the newest one.
 
-    A store that has come back from an older copy may have lost the departure of a backend
-    server whose node was down meanwhile. Peers may still know of it. So a record that was
-    written in an earlier era, or is missing in a later one, waits for what they say.
+    A store that has come back from an older copy may have lost a newer configuration, or
+    the departure of a backend server whose node was down meanwhile. Peers may still know
+    of it. So a record that was not certainly written in the present era waits for what
+    they say; era 0 is that of a store which has lost nothing.
     """
 
     __slots__ = ("_waits_since",)
--- a/packages/node/src/cassiahatch_node/mesh/root.py
+++ b/packages/node/src/cassiahatch_node/mesh/root.py
@@ -420,6 +420,7 @@
     async def _tick(self) -> None:
         while True:
             self._links.tick()
+            self.store_sync.apply_held_configuration()
             if not self._announcement_handler.is_restored:
                 self._restore_backend()
             if self.egress.lease is not None:
--- a/packages/node/src/cassiahatch_node/mesh/store_sync.py
+++ b/packages/node/src/cassiahatch_node/mesh/store_sync.py
@@ -22,6 +22,7 @@
     StaleReadError,
     StoreUnavailableError,
 )
+from cassiahatch_kernel.store_versions import get_era
 from cassiahatch_node.mesh.confirmations import ConfigurationAge, Confirmations
 from cassiahatch_node.mesh.directory import Directory
 from cassiahatch_node.mesh.frames import Hello, ReaderFrame, UpdateFrame
@@ -32,6 +33,7 @@
     encode_member,
 )
 from cassiahatch_node.mesh.missing_members import MissingMembers
+from cassiahatch_node.mesh.record_confirmation import RecordConfirmation, RecordOrigin
 from cassiahatch_node.mesh.settings import StoreSection
 from cassiahatch_node.mesh.store_answers import StoreAnswers
 
@@ -90,6 +92,10 @@
         self._journal = journal
         self._on_configuration = on_configuration
         self._config_value = b""
+        self._held_config_value = b""
+        """Configuration that was read first, in a later era than 0, and is not in force
+        yet: the store may have lost a newer one that peers have."""
+        self._config_confirmation = RecordConfirmation()
         self.answers = StoreAnswers(clock, journal)
         self._reading_enabled = asyncio.Event()
         self._reading_enabled.set()
@@ -367,11 +373,40 @@
     def _apply_configuration_scan(self, scan: Scan, is_full_scan: bool) -> None:
         for row in scan.rows:
             if row.key == self._source.key:
-                self.apply_configuration(row.value, FROM_STORE)
+                self._held_config_value = row.value
+        self.apply_held_configuration(get_era(scan.revision))
         self._confirmations.confirm_configuration(
             self.config_version, scan.read_at, self.config_version
         )
 
+    def apply_held_configuration(self, store_era: int = 0) -> None:
+        """Put a configuration that was read in force, once it counts as the newest one.
+
+        Parameters
+        ----------
+        store_era : int, optional
+            Era in which the store has answered, if it has answered now.
+        """
+        if not self._held_config_value:
+            return
+        origin = RecordOrigin(
+            None,
+            max(store_era, get_era(self._newest_revision)),
+            len(self._directory.members) > 1,
+            self.has_informed_peer,
+        )
+        now, was_waiting = self._clock.monotonic(), self._config_confirmation.is_waiting
+        if not (
+            self.has_configuration or self._config_confirmation.confirm(origin, now)
+        ):
+            if not was_waiting:
+                self._journal.note(
+                    "configuration_unconfirmed", store_era=origin.store_era
+                )
+            return
+        value, self._held_config_value = self._held_config_value, b""
+        self.apply_configuration(value, FROM_STORE)
+
     def _apply_member_scan(self, scan: Scan, is_full_scan: bool) -> None:
         valid_rows = [row for row in scan.rows if self._apply_member_row(row)]
         removed_keys = set(scan.removed)
--- a/tests/test_mesh_store_copies.py
+++ b/tests/test_mesh_store_copies.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cassiahatch_kernel.members import MemberState
+from cassiahatch_node.mesh.link_out import PeerLink
 from cassiahatch_node.mesh.record_confirmation import (
     MAX_WAIT_S,
     MIN_WAIT_S,
@@ -164,3 +165,44 @@
                 await asyncio.sleep(0.02)
 
     run_scenario(scenario)
+
+
+LINK_DELAY_S = 0.4
+"""Delay of new links: shorter than the wait for peers."""
+
+
+# Guards against a version that the store has lost, undone by the start of a node.
+@pytest.mark.parametrize("is_cut_off", [False, True])
+def test_a_node_starts_with_no_older_configuration_than_its_peers_have(
+    is_cut_off: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    connect = PeerLink._connect_and_wait
+
+    async def connect_late(link: PeerLink) -> None:
+        await asyncio.sleep(2 * MAX_WAIT_S if is_cut_off else LINK_DELAY_S)
+        await connect(link)
+
+    async def scenario(site: Site) -> None:
+        site.store.era = 1
+        await build_site(site, ["shop", "books"])
+        books = site.hosts[1]
+        copy = site.store.copy()
+        site.configure({"other": {"prefix": "/other/", "service": "books"}})
+        await site.wait_for_convergence()
+        await stop_process(books)
+        site.store.roll_back(copy)
+        monkeypatch.setattr(PeerLink, "_connect_and_wait", connect_late)
+        await books.start(site._journal_fd)
+        statuses = set()
+        async with asyncio.timeout(1.5 * MAX_WAIT_S):
+            while not books.sidecar.store_sync.has_configuration:
+                headers = make_headers("r1")
+                answer = await send(books.client_address, "GET", "/read/1", headers)
+                statuses.add(answer.status)
+                await asyncio.sleep(0.02)
+        assert statuses <= {503, 404}
+        # Without any peer, the store's copy is all that can be known.
+        expected = site.config_version - 3 if is_cut_off else site.config_version
+        assert books.sidecar.store_sync.config_version == expected
+
+    run_scenario(scenario)
