Count a process that the machine did not run as disturbed in the soak

Cause: the machine did not run the nodes' processes for up to 4.4 s at a time. A node that has not run for more than 0.6 s takes its machine for suspended and breaks off the links on which calls of unknown age may wait, as it must; what it worked on for its peers gets 502. The check knows such a pause if the soak injects it, and excuses it, but not one that the machine makes.

Change: the soak reads from the logs when a process did not run. It excuses a request only if that time falls into the request's, and only on the node of its client or of a backend server that it reached; an injected pause excuses more. Table cases hold both limits.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -7,6 +7,7 @@
 import math
 import signal
 import sys
+import time
 from contextlib import AsyncExitStack, suppress
 from dataclasses import dataclass
 from pathlib import Path
@@ -116,6 +117,9 @@
         """State that its heartbeats announce: ``ready`` or ``draining``."""
         self.drain_acknowledged_at: dict[str, float] = {}
         """Time at which the node acknowledged that an instance drains, by instance."""
+        self.suspensions: list[tuple[float, float]] = []
+        """Beginnings and ends of the times in which the node's process did not run, as
+        its log tells."""
 
     def write_settings(self) -> None:
         self.settings_path.write_text(
@@ -147,6 +151,15 @@
                 stdout=log, stderr=log,
             )  # fmt: skip
 
+    def read_suspensions(self) -> None:
+        """Read from the log when the node's process did not run."""
+        offset = time.time() - asyncio.get_running_loop().time()
+        for line in self.log_path.read_text().splitlines():
+            if '"woke_up"' in line and line.endswith("}"):
+                record = json.loads(line)
+                ended_at = record["at"] - offset
+                self.suspensions.append((ended_at - record["gap_s"], ended_at))
+
     def signal_node(self, signal_number: signal.Signals) -> None:
         """Send a signal to the node if its process is running."""
         if self.process is not None and self.process.returncode is None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -115,6 +115,8 @@
     (folder / "requests.txt").write_text("\n".join(map(repr, records)))
     stalls = "\n".join(map(str, cluster.stall_watch.gaps))
     (folder / "stalls.txt").write_text(stalls)
+    for vm in cluster.vms:
+        vm.read_suspensions()
     observations = collect_observations(cluster, records)
     return RunResult(
         seed,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -110,6 +110,7 @@
     stopped_at: dict[int, float] = field(default_factory=dict)
     backends: list = field(default_factory=list)
     drain_acknowledged_at: dict[str, float] = field(default_factory=dict)
+    suspensions: list[tuple[float, float]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -243,6 +244,7 @@
     stopped_at: float = math.inf,
     crashed_at: float = math.inf,
     stall: tuple[float, float] | None = None,
+    suspensions: dict[int, tuple[float, float]] | None = None,
     **fields: object,
 ) -> Callable[[Observations], None]:
     """Return a function that adds requests whose connection was closed.
@@ -253,6 +255,8 @@
         Length of the backend server's work; None for requests that it did not get.
     stall : tuple of float or None
         Two ticks of the soak's event loop between which it did not run.
+    suspensions : dict or None
+        Time in which a node's process did not run, by VM.
     """
     closed = {"was_closed": True, "last_sent_at": 1.0, "ended_at": 1.5}
 
@@ -262,6 +266,8 @@
         vm.backends[0].crashed_at = crashed_at
         if fault is not None:
             observations.cluster.injections.append(Injection(fault, 0.5, 1.2))
+        for number, suspension in (suspensions or {}).items():
+            observations.cluster.vms[number].suspensions.append(suspension)
         if stall is not None:
             observations.cluster.stall_watch.gaps.append(stall)
         for number in range(count):
@@ -326,6 +332,12 @@
     (make_loss(**LATE | {"run_s": LATE_GRACE_S - 1.0}), "lost"),
     (make_loss(**LATE | {"sent_at": 4.0}), "lost"),
     (make_loss(has_left=True), ""),
+    # A process that the machine did not run is disturbed, for that time.
+    (make_loss(suspensions={0: (0.5, 1.2)}), ""),
+    (make_loss(suspensions={0: (0.2, 0.9)}), "lost"),
+    (make_loss(suspensions={0: (1.6, 2.5)}), "lost"),
+    (make_loss(suspensions={1: (0.5, 1.2)}), "lost"),
+    (make_own_answer(stopped_at=0.5, run_s=1.0, suspensions={0: (0.5, 1.2)}), ""),
     # A close that a request crosses loses nothing if the request was not passed on.
     (make_loss(run_s=None, ended_at=1.0 + LOSS_SLACK_S), ""),
     (make_loss(ended_at=1.0 + LOSS_SLACK_S), "lost"),
