End an exchange of the soak whose connection closes between two parts

Change: such a request counts as one that was not sent whole, as after a reset.

Measured: the 28 table cases of the clients pass; the race itself was not reproduced.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -263,6 +263,8 @@
                 half = len(data) - len(records[-1].id) // 2
                 writer.write(data[:half])
                 await asyncio.sleep(wait_s)
+                if writer.transport.is_closing():
+                    raise ConnectionResetError("closed before the last part was sent")
                 writer.write(data[half:])
             case HalfClose():
                 writer.write(data)
